feat(core): identities, keys, connection IDs and the tunnel codec

The workspace and the parts that every process shares: a connection ID that names the owning agent, the PROXY protocol v2 tunnel header with its code, the invariants of QUIC packets, the configuration's model and an agent's record.

--- /dev/null
+++ b/arbutus-bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/arbutus-core/src/cid.rs
@@ -0,0 +1,12 @@
+//! Connection IDs that name the agent which owns the flow.
+//!
+//! The idea follows the QUIC-LB draft (draft-ietf-quic-load-balancers), but the hidden block holds
+//! the agent's own address, so that a balancer needs no table for an established flow.
+
+mod cid_codec;
+mod cid_error;
+mod flow_owner;
+
+pub use cid_codec::{CID_BYTES, decode, encode};
+pub use cid_error::CidError;
+pub use flow_owner::FlowOwner;
--- /dev/null
+++ b/arbutus-core/src/config/snapshot.rs
@@ -0,0 +1,28 @@
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::{ConfigVersion, Service};
+use crate::ident::ServiceTag;
+
+/// One accepted configuration, whole.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The services by their tags.
+    pub services: IndexMap<ServiceTag, Arc<Service>>,
+}
+
+impl Snapshot {
+    /// Makes a configuration of `services`.
+    #[must_use]
+    pub fn new(version: ConfigVersion, services: impl IntoIterator<Item = Service>) -> Self {
+        let services = services
+            .into_iter()
+            .map(|service| (service.tag(), Arc::new(service)))
+            .collect();
+        Self { version, services }
+    }
+}
--- /dev/null
+++ b/arbutus-core/src/keys/system_key.rs
@@ -0,0 +1,58 @@
+use aes::cipher::KeyInit;
+use hkdf::Hkdf;
+use sha2::Sha256;
+
+/// Keys derived from one secret of the system.
+#[derive(Clone)]
+pub struct SystemKey {
+    /// Hides the contents of connection IDs.
+    pub(crate) cid: aes::Aes128,
+    /// Authenticates tunnel datagrams.
+    pub(crate) tunnel: [u8; 16],
+    binding: [u8; 32],
+    reset: [u8; 32],
+}
+
+impl SystemKey {
+    /// Length of a secret in bytes.
+    pub const SECRET_BYTES: usize = 32;
+
+    /// Derives the keys of `secret`.
+    #[must_use]
+    pub fn derive(secret: &[u8; Self::SECRET_BYTES]) -> Self {
+        let source = Hkdf::<Sha256>::new(None, secret);
+        let cid: [u8; 16] = expand(&source, b"arbutus connection id");
+        Self {
+            cid: aes::Aes128::new(&cid.into()),
+            tunnel: expand(&source, b"arbutus tunnel"),
+            binding: expand(&source, b"arbutus binding"),
+            reset: expand(&source, b"arbutus stateless reset"),
+        }
+    }
+
+    /// The key that authenticates bindings (HMAC-SHA-256).
+    #[must_use]
+    pub const fn binding(&self) -> &[u8; 32] {
+        &self.binding
+    }
+
+    /// The key of QUIC stateless reset tokens, the same at every agent of the system.
+    #[must_use]
+    pub const fn reset(&self) -> &[u8; 32] {
+        &self.reset
+    }
+}
+
+impl std::fmt::Debug for SystemKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("SystemKey(..)")
+    }
+}
+
+fn expand<const N: usize>(source: &Hkdf<Sha256>, label: &[u8]) -> [u8; N] {
+    let mut key = [0; N];
+    source
+        .expand(label, &mut key)
+        .expect("the length is far below HKDF's bound");
+    key
+}
--- /dev/null
+++ b/arbutus-core/src/lib.rs
@@ -0,0 +1,14 @@
+//! The decisions of the arbutusstage load balancer.
+//!
+//! Every role is a state machine without sockets, threads, clock reads or a global random source:
+//! events and a [`time::Timestamp`] go in, actions come out. The daemons feed these machines, and
+//! so can any test or bench.
+
+pub mod cid;
+pub mod config;
+pub mod ident;
+pub mod keys;
+pub mod quic;
+pub mod roster;
+pub mod time;
+pub mod tunnel;
--- /dev/null
+++ b/arbutus-core/src/time.rs
@@ -0,0 +1,67 @@
+//! Time as the decisions see it.
+
+use std::time::Duration;
+
+/// A point on a clock that the caller of the decisions chooses.
+///
+/// The unit is one microsecond. Daemons feed a monotonic clock, tests feed numbers.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use arbutus_core::time::Timestamp;
+///
+/// let start = Timestamp::from_micros(1_000);
+/// let later = start + Duration::from_millis(2);
+/// assert_eq!(later.since(start), Duration::from_millis(2));
+/// assert_eq!(start.since(later), Duration::ZERO);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// The origin of the clock.
+    pub const ZERO: Self = Self(0);
+    /// A point that no clock reaches.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Makes a timestamp from microseconds since the origin.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Makes a timestamp from milliseconds since the origin.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Microseconds since the origin.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Milliseconds since the origin, rounded down.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Time passed since `earlier`, or zero where `earlier` lies ahead.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl std::ops::Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
