--- /dev/null
+++ b/arbutus-settings/src/agent.rs
@@ -0,0 +1,5 @@
+//! Settings of the agent daemon.
+
+mod agent_settings;
+
+pub use agent_settings::AgentSettings;
--- /dev/null
+++ b/arbutus-settings/src/balancer.rs
@@ -0,0 +1,5 @@
+//! Settings of the balancer daemon.
+
+mod balancer_settings;
+
+pub use balancer_settings::BalancerSettings;
--- /dev/null
+++ b/arbutus-settings/src/document.rs
@@ -0,0 +1,12 @@
+//! JSON with comments, parsed into values that know their places.
+
+mod lines;
+mod node;
+mod reader;
+mod source;
+mod value;
+
+pub use node::Node;
+pub use reader::Reader;
+pub use source::Document;
+pub use value::{Entry, Value};
--- /dev/null
+++ b/arbutus-settings/src/document/source.rs
@@ -0,0 +1,112 @@
+use std::sync::Arc;
+
+use jsonc_parser::{
+    CollectOptions, ParseOptions, ast,
+    common::{Range, Ranged},
+};
+
+use super::{Entry, Node, Value, lines::Lines};
+use crate::findings::{Findings, Place};
+
+/// One parsed file.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Document {
+    root: Node,
+}
+
+impl Document {
+    /// Largest file that is read, in bytes.
+    pub const MAX_BYTES: usize = 4 * 1024 * 1024;
+
+    /// Parses `text`, which may hold comments and trailing commas.
+    ///
+    /// What is wrong goes to `findings` under the name `file`. A key that stands twice in one
+    /// object is a finding, and its first value is kept.
+    pub fn parse(file: &str, text: &str, findings: &mut Findings) -> Option<Self> {
+        let file: Arc<str> = Arc::from(file);
+        if text.len() > Self::MAX_BYTES {
+            let message = format!("the file is larger than {} bytes", Self::MAX_BYTES);
+            findings.add(&Place::whole(file), message);
+            return None;
+        }
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+        let parsed = jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &strict());
+        let root = match parsed {
+            Ok(parsed) => parsed.value,
+            Err(error) => {
+                let place = Place::new(file, error.line_display(), error.column_display());
+                findings.add(&place, error.kind().to_string());
+                return None;
+            }
+        };
+        let Some(root) = root else {
+            findings.add(&Place::new(file, 1, 1), "the file holds no value");
+            return None;
+        };
+        let lines = Lines::new(file, text);
+        Some(Self {
+            root: convert(root, &lines, findings),
+        })
+    }
+
+    /// The outermost value.
+    #[must_use]
+    pub const fn root(&self) -> &Node {
+        &self.root
+    }
+}
+
+const fn strict() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+fn convert(value: ast::Value<'_>, lines: &Lines<'_>, findings: &mut Findings) -> Node {
+    let Range { start, .. } = value.range();
+    let value = match value {
+        ast::Value::NullKeyword(_) => Value::Null,
+        ast::Value::BooleanLit(literal) => Value::Bool(literal.value),
+        ast::Value::NumberLit(literal) => Value::Number(Arc::from(literal.value)),
+        ast::Value::StringLit(literal) => Value::Text(Arc::from(&*literal.value)),
+        ast::Value::Array(array) => {
+            let elements = array.elements.into_iter();
+            Value::List(elements.map(|it| convert(it, lines, findings)).collect())
+        }
+        ast::Value::Object(object) => Value::Object(entries(object, lines, findings)),
+    };
+    Node {
+        place: lines.place(start),
+        value,
+    }
+}
+
+fn entries(object: ast::Object<'_>, lines: &Lines<'_>, findings: &mut Findings) -> Vec<Entry> {
+    let mut entries = indexmap::IndexMap::<Arc<str>, Entry>::new();
+    for property in object.properties {
+        let place = lines.place(property.range.start);
+        let key: Arc<str> = Arc::from(property.name.as_str());
+        let node = convert(property.value, lines, findings);
+        if let Some(first) = entries.get(&key) {
+            let message = format!("the key `{key}` stands twice; first at {}", first.place);
+            findings.add(&place, message);
+            continue;
+        }
+        let entry = Entry {
+            key: key.clone(),
+            place,
+            node,
+        };
+        entries.insert(key, entry);
+    }
+    entries.into_values().collect()
+}
--- /dev/null
+++ b/arbutus-settings/src/document/value.rs
@@ -0,0 +1,47 @@
+use std::sync::Arc;
+
+use super::Node;
+use crate::findings::Place;
+
+/// A JSON value.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Value {
+    /// `null`.
+    Null,
+    /// `true` or `false`.
+    Bool(bool),
+    /// A number as it is written.
+    Number(Arc<str>),
+    /// A string.
+    Text(Arc<str>),
+    /// An array.
+    List(Vec<Node>),
+    /// An object, its entries in their order; no key stands twice.
+    Object(Vec<Entry>),
+}
+
+impl Value {
+    /// What kind of value it is, for messages.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Null => "null",
+            Self::Bool(_) => "a boolean",
+            Self::Number(_) => "a number",
+            Self::Text(_) => "a string",
+            Self::List(_) => "an array",
+            Self::Object(_) => "an object",
+        }
+    }
+}
+
+/// A key of an object with its value.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    /// The key.
+    pub key: Arc<str>,
+    /// Where the key stands.
+    pub place: Place,
+    /// Its value.
+    pub node: Node,
+}
--- /dev/null
+++ b/arbutus-settings/src/findings/collection.rs
@@ -0,0 +1,68 @@
+use std::collections::BTreeSet;
+
+use error_stack::Report;
+
+use super::{Finding, Place};
+use crate::SettingsError;
+
+/// Findings of one or more files, in the order of their places.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Findings {
+    entries: BTreeSet<Finding>,
+}
+
+impl Findings {
+    /// Makes an empty collection.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            entries: BTreeSet::new(),
+        }
+    }
+
+    /// Adds a finding.
+    pub fn add(&mut self, place: &Place, message: impl Into<String>) {
+        self.entries.insert(Finding {
+            place: place.clone(),
+            message: message.into(),
+        });
+    }
+
+    /// Whether nothing was found.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// How many there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// The findings in the order of their places.
+    pub fn iter(&self) -> impl Iterator<Item = &Finding> {
+        self.entries.iter()
+    }
+
+    /// Gives `value` if nothing was found.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all findings attached if there are any, or if `value` is missing.
+    pub fn into_result<T>(self, value: Option<T>) -> Result<T, Report<SettingsError>> {
+        match value {
+            Some(value) if self.is_empty() => Ok(value),
+            _ => Err(Report::new(SettingsError::Findings).attach(self)),
+        }
+    }
+}
+
+impl std::fmt::Display for Findings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for finding in &self.entries {
+            writeln!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/arbutus-settings/src/findings/finding.rs
@@ -0,0 +1,16 @@
+use super::Place;
+
+/// One thing that is wrong, with its place.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Finding {
+    /// Where it is.
+    pub place: Place,
+    /// What it is.
+    pub message: String,
+}
+
+impl std::fmt::Display for Finding {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.place, self.message)
+    }
+}
--- /dev/null
+++ b/arbutus-settings/src/scalar.rs
@@ -0,0 +1,13 @@
+//! Parsers of single values, each telling what is wrong with one.
+//!
+//! A parser takes the key (for the message), the value and the findings.
+
+mod address;
+mod list;
+mod number;
+mod text;
+
+pub use address::{address, address_v4};
+pub use list::list;
+pub use number::{boolean, duration_ms, integer};
+pub use text::{choice, file, name, text};
--- /dev/null
+++ b/arbutus-settings/src/scalar/list.rs
@@ -0,0 +1,22 @@
+use crate::{
+    document::{Node, Value},
+    findings::Findings,
+};
+
+/// An array whose elements `parse` reads; every wrong element is told.
+pub fn list<T>(
+    parse: impl Fn(&str, &Node, &mut Findings) -> Option<T>,
+) -> impl FnOnce(&str, &Node, &mut Findings) -> Option<Vec<T>> {
+    move |key, node, findings| {
+        let Value::List(nodes) = &node.value else {
+            let message = format!("`{key}` must be an array, found {}", node.value.kind());
+            findings.add(&node.place, message);
+            return None;
+        };
+        let parsed: Vec<Option<T>> = nodes
+            .iter()
+            .map(|node| parse(key, node, findings))
+            .collect();
+        parsed.into_iter().collect()
+    }
+}
--- /dev/null
+++ b/arbutus-settings/src/tls.rs
@@ -0,0 +1,8 @@
+//! Certificates and their keys, read from the files that the settings name.
+
+mod identity;
+mod load;
+
+pub use identity::{ControlTls, Identity};
+pub use load::{load_authorities, load_identity};
+pub(crate) use load::{read_control, read_identity};
--- /dev/null
+++ b/arbutus-settings/src/tls/load.rs
@@ -0,0 +1,143 @@
+use std::path::Path;
+
+use error_stack::Report;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject};
+
+use super::{ControlTls, Identity};
+use crate::{
+    SettingsError,
+    document::Node,
+    findings::{Findings, Place},
+    scalar, secret,
+};
+
+/// Loads the authorities in the PEM file at `path`.
+///
+/// # Errors
+///
+/// Fails with findings attached where the file cannot be read or holds no certificate.
+pub fn load_authorities(
+    path: &Path,
+) -> Result<Vec<CertificateDer<'static>>, Report<SettingsError>> {
+    let mut findings = Findings::new();
+    let place = Place::whole(path.display().to_string().into());
+    let loaded = certificates(path, &place, &mut findings);
+    findings.into_result(loaded)
+}
+
+/// Loads a certificate chain and its key from PEM files.
+///
+/// # Errors
+///
+/// Fails with findings attached where a file cannot be read or holds the wrong thing, where the
+/// key file is open to group or others, and where the key does not fit the certificate.
+pub fn load_identity(certificate: &Path, key: &Path) -> Result<Identity, Report<SettingsError>> {
+    let mut findings = Findings::new();
+    let chain_place = Place::whole(certificate.display().to_string().into());
+    let key_place = Place::whole(key.display().to_string().into());
+    let chain = certificates(certificate, &chain_place, &mut findings);
+    let key = private_key(key, &key_place, &mut findings);
+    let identity = matching(chain, key, &chain_place, &mut findings);
+    findings.into_result(identity)
+}
+
+/// Reads the `control_tls` object of a daemon's settings.
+pub(crate) fn read_control(
+    folder: &Path,
+) -> impl FnOnce(&str, &Node, &mut Findings) -> Option<ControlTls> {
+    move |_key, node, findings| {
+        let mut reader = node.reader(findings)?;
+        let authorities = reader.required("ca", read_certificates(folder));
+        let chain = reader.required("certificate", read_certificates(folder));
+        let key = reader.required("key", read_private_key(folder));
+        reader.finish();
+        let identity = matching(chain, key, &node.place, findings);
+        Some(ControlTls {
+            authorities: authorities?,
+            identity: identity?,
+        })
+    }
+}
+
+/// Reads an object of `certificate` and `key` in a daemon's settings.
+pub(crate) fn read_identity(
+    folder: &Path,
+) -> impl FnOnce(&str, &Node, &mut Findings) -> Option<Identity> {
+    move |_key, node, findings| {
+        let mut reader = node.reader(findings)?;
+        let chain = reader.required("certificate", read_certificates(folder));
+        let key = reader.required("key", read_private_key(folder));
+        reader.finish();
+        matching(chain, key, &node.place, findings)
+    }
+}
+
+fn read_certificates(
+    folder: &Path,
+) -> impl FnOnce(&str, &Node, &mut Findings) -> Option<Vec<CertificateDer<'static>>> {
+    move |key, node, findings| {
+        let path = scalar::file(folder)(key, node, findings)?;
+        certificates(&path, &node.place, findings)
+    }
+}
+
+fn read_private_key(
+    folder: &Path,
+) -> impl FnOnce(&str, &Node, &mut Findings) -> Option<PrivateKeyDer<'static>> {
+    move |key, node, findings| {
+        let path = scalar::file(folder)(key, node, findings)?;
+        private_key(&path, &node.place, findings)
+    }
+}
+
+fn certificates(
+    path: &Path,
+    place: &Place,
+    findings: &mut Findings,
+) -> Option<Vec<CertificateDer<'static>>> {
+    let bytes = secret::read(path, place, findings)?;
+    let parsed: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(&bytes).collect();
+    match parsed {
+        Ok(chain) if !chain.is_empty() => Some(chain),
+        Ok(_) => {
+            let message = format!("`{}` holds no PEM certificate", path.display());
+            findings.add(place, message);
+            None
+        }
+        Err(error) => {
+            findings.add(place, format!("`{}`: {error}", path.display()));
+            None
+        }
+    }
+}
+
+fn private_key(
+    path: &Path,
+    place: &Place,
+    findings: &mut Findings,
+) -> Option<PrivateKeyDer<'static>> {
+    let bytes = secret::read_secret(path, place, findings)?;
+    let parsed = PrivateKeyDer::from_pem_slice(&bytes);
+    if parsed.is_err() {
+        let message = format!("`{}` holds no PEM private key", path.display());
+        findings.add(place, message);
+    }
+    parsed.ok()
+}
+
+fn matching(
+    chain: Option<Vec<CertificateDer<'static>>>,
+    key: Option<PrivateKeyDer<'static>>,
+    place: &Place,
+    findings: &mut Findings,
+) -> Option<Identity> {
+    let (chain, key) = (chain?, key?);
+    let provider = rustls::crypto::ring::default_provider();
+    let checked = rustls::sign::CertifiedKey::from_der(chain.clone(), key.clone_key(), &provider);
+    if let Err(error) = checked {
+        let message = format!("the key does not fit the certificate: {error}");
+        findings.add(place, message);
+        return None;
+    }
+    Some(Identity { chain, key })
+}
