feat(core): committing a change of configuration, free of input and output

An operator's change goes into the store as immutable shards and one index whose compare-and-swap is the commit. A lost answer is settled by reading back the change's own ID, also when other changes followed; a race is told with the other's change. Versions of single services lie in the shards, not in the index, so that the index stays small at thousands of services.

--- /dev/null
+++ b/arbutus-core/src/apply.rs
@@ -0,0 +1,62 @@
+//! How a change of configuration is committed to the platform's store.
+//!
+//! The configuration is kept as immutable shards, each under the hash of its content, and one
+//! [`Index`] that names them. A compare-and-swap of the index is the commit. [`Apply`] decides what
+//! to read and write and what may be said of the result; it does no input or output itself.
+//!
+//! # Examples
+//!
+//! ```
+//! use arbutus_core::{
+//!     apply::{Action, Apply, Base, ChangeId, ChangeRecord, Event, Outcome, Stored, Swap},
+//!     config::{ConfigVersion, Service, Snapshot},
+//!     time::Timestamp,
+//! };
+//!
+//! let service = Service::new("lookup", "192.0.2.1:443".parse().unwrap());
+//! let desired = Snapshot::new(ConfigVersion::NONE, [service]);
+//! let change = ChangeRecord::new(ChangeId::new([7; 16]), "desk", 0);
+//! let mut apply = Apply::new(Base::default(), desired.services, change, 1);
+//!
+//! let now = Timestamp::ZERO;
+//! assert!(matches!(apply.handle(Event::Started, now), Action::Read));
+//! let action = apply.handle(Event::Read(Ok(Stored::default())), now);
+//! assert!(matches!(action, Action::WriteShards(_)));
+//! let action = apply.handle(Event::ShardsWritten(Ok(())), now);
+//! assert!(matches!(action, Action::SwapIndex { .. }));
+//! let action = apply.handle(Event::Swapped(Ok(Swap::Done)), now);
+//! let Action::Finish(Outcome::Accepted { version, .. }) = action else { unreachable!() };
+//! assert_eq!(version, ConfigVersion::new(1));
+//! ```
+
+mod action;
+mod base;
+mod change;
+mod difference;
+mod event;
+mod index;
+mod layout;
+mod machine;
+mod outcome;
+mod plan;
+mod shard;
+mod stored;
+mod tunables;
+
+pub use action::Action;
+pub use base::Base;
+pub use change::{ChangeId, ChangeRecord};
+pub use difference::{Difference, differences};
+pub use event::{Event, StoreFailure, Swap};
+pub use index::{Index, PastChange, ValueError};
+pub use layout::Layout;
+pub use machine::Apply;
+pub use outcome::Outcome;
+pub use plan::{Plan, PlanError};
+pub use shard::{Shard, ShardKey, ShardValue, StoredService};
+pub use stored::{Revision, Stored};
+pub use tunables::Tunables;
+
+/// Services of one configuration by their tags.
+pub type Services =
+    indexmap::IndexMap<crate::ident::ServiceTag, std::sync::Arc<crate::config::Service>>;
--- a/arbutus-core/src/lib.rs
+++ b/arbutus-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! events and a [`time::Timestamp`] go in, actions come out. The daemons feed these machines, and
 //! so can any test or bench.
 
+pub mod apply;
 pub mod cid;
 pub mod config;
 pub mod ident;
