--- a/arbutus-io/src/lib.rs
+++ b/arbutus-io/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Sockets, HTTP and control transport of arbutusstage.
+
+pub mod store;
