--- /dev/null
+++ b/arbutus-lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for what surrounds the load balancer, and experiments on its real processes.
+
+pub mod store;
--- /dev/null
+++ b/arbutus-lab/src/store/query.rs
@@ -0,0 +1,40 @@
+use std::time::Duration;
+
+/// The parameters of a call that the stand-in knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) struct Query {
+    /// The index that a read waits to be passed.
+    pub(super) index: Option<u64>,
+    /// How long it waits.
+    pub(super) wait: Option<Duration>,
+    /// The index that a write expects.
+    pub(super) cas: Option<u64>,
+}
+
+impl Query {
+    pub(super) fn parse(text: &str) -> Self {
+        let mut query = Self::default();
+        for part in text.split('&') {
+            match part.split_once('=') {
+                Some(("index", value)) => query.index = value.parse().ok(),
+                Some(("wait", value)) => query.wait = duration(value),
+                Some(("cas", value)) => query.cas = value.parse().ok(),
+                _ => {}
+            }
+        }
+        query
+    }
+}
+
+/// Parses durations such as `10s`, `500ms` and `5m`.
+pub(super) fn duration(text: &str) -> Option<Duration> {
+    let end = text.find(|c: char| !c.is_ascii_digit())?;
+    let (number, unit) = text.split_at(end);
+    let number: u64 = number.parse().ok()?;
+    match unit {
+        "ms" => Some(Duration::from_millis(number)),
+        "s" => Some(Duration::from_secs(number)),
+        "m" => Some(Duration::from_secs(number * 60)),
+        _ => None,
+    }
+}
