feat(core): a passed-on datagram names the balancer it came from

An agent that gets a flow from another agent has no balancer to answer by, since the sender's address is the other agent's. The header now carries it in a field of its own.

--- a/arbutus-core/src/tunnel/tunnel_codec.rs
+++ b/arbutus-core/src/tunnel/tunnel_codec.rs
@@ -15,8 +15,9 @@
 const TLV_CANDIDATES: u8 = 0xe1;
 const TLV_HOPS: u8 = 0xe2;
 const TLV_MAC: u8 = 0xe3;
+const TLV_VIA: u8 = 0xe4;
 
-const CANDIDATE_BYTES: usize = 6;
+const ADDRESS_BYTES: usize = 6;
 const CODE_BYTES: usize = 16;
 /// A key number and the code.
 const MAC_BYTES: usize = 1 + CODE_BYTES;
@@ -70,6 +71,7 @@
         match tlv.kind {
             TLV_TAG => tag = Some(read_tag(&tlv.value)?),
             TLV_CANDIDATES => header.candidates = read_candidates(&tlv.value)?,
+            TLV_VIA => header.via = Some(read_via(&tlv.value)?),
             TLV_HOPS => header.hops = read_hops(&tlv.value)?,
             TLV_MAC => mac = Some(read_mac(&tlv.value)?),
             _ => {}
@@ -133,11 +135,10 @@
 }
 
 fn build(header: &TunnelHeader, key_number: u8) -> io::Result<Vec<u8>> {
-    let mut candidates = [0; Candidates::MAX * CANDIDATE_BYTES];
+    let mut candidates = [0; Candidates::MAX * ADDRESS_BYTES];
     let named = header.candidates.as_slice();
-    for (chunk, agent) in candidates.chunks_exact_mut(CANDIDATE_BYTES).zip(named) {
-        chunk[..4].copy_from_slice(&agent.ip().octets());
-        chunk[4..].copy_from_slice(&agent.port().to_be_bytes());
+    for (chunk, agent) in candidates.chunks_exact_mut(ADDRESS_BYTES).zip(named) {
+        chunk.copy_from_slice(&write_address(*agent));
     }
     let mut mac = [0; MAC_BYTES];
     mac[0] = key_number;
@@ -146,12 +147,14 @@
         .reserve_capacity(96)
         .write_tlv(TLV_TAG, &header.tag.get().to_be_bytes())?;
     if !named.is_empty() {
-        builder =
-            builder.write_tlv(TLV_CANDIDATES, &candidates[..named.len() * CANDIDATE_BYTES])?;
+        builder = builder.write_tlv(TLV_CANDIDATES, &candidates[..named.len() * ADDRESS_BYTES])?;
     }
     if header.hops > 0 {
         builder = builder.write_tlv(TLV_HOPS, &[header.hops])?;
     }
+    if let Some(balancer) = header.via {
+        builder = builder.write_tlv(TLV_VIA, &write_address(balancer))?;
+    }
     builder.write_tlv(TLV_MAC, &mac)?.build()
 }
 
@@ -178,15 +181,33 @@
 }
 
 fn read_candidates(value: &[u8]) -> Result<Candidates, TunnelError> {
-    let whole = value.len().is_multiple_of(CANDIDATE_BYTES);
-    if !whole || value.len() > Candidates::MAX * CANDIDATE_BYTES {
+    let whole = value.len().is_multiple_of(ADDRESS_BYTES);
+    if !whole || value.len() > Candidates::MAX * ADDRESS_BYTES {
         return Err(TunnelError::Field);
     }
-    let agents = value.chunks_exact(CANDIDATE_BYTES).map(|chunk| {
-        let ip = Ipv4Addr::new(chunk[0], chunk[1], chunk[2], chunk[3]);
-        SocketAddrV4::new(ip, u16::from_be_bytes([chunk[4], chunk[5]]))
-    });
-    Ok(agents.collect())
+    Ok(value
+        .chunks_exact(ADDRESS_BYTES)
+        .map(read_address)
+        .collect())
+}
+
+fn read_via(value: &[u8]) -> Result<SocketAddrV4, TunnelError> {
+    if value.len() == ADDRESS_BYTES {
+        Ok(read_address(value))
+    } else {
+        Err(TunnelError::Field)
+    }
+}
+
+fn write_address(address: SocketAddrV4) -> [u8; ADDRESS_BYTES] {
+    let [a, b, c, d] = address.ip().octets();
+    let [high, low] = address.port().to_be_bytes();
+    [a, b, c, d, high, low]
+}
+
+fn read_address(chunk: &[u8]) -> SocketAddrV4 {
+    let ip = Ipv4Addr::new(chunk[0], chunk[1], chunk[2], chunk[3]);
+    SocketAddrV4::new(ip, u16::from_be_bytes([chunk[4], chunk[5]]))
 }
 
 fn read_mac(value: &[u8]) -> Result<(u8, [u8; CODE_BYTES]), TunnelError> {
--- a/arbutus-core/src/tunnel/tunnel_header.rs
+++ b/arbutus-core/src/tunnel/tunnel_header.rs
@@ -23,6 +23,8 @@
     pub hops: u8,
     /// Who may take the flow next; empty for an established flow.
     pub candidates: Candidates,
+    /// The balancer that sent the datagram, where an agent has passed it on.
+    pub via: Option<SocketAddrV4>,
 }
 
 impl TunnelHeader {
@@ -34,6 +36,7 @@
             tag,
             hops: 0,
             candidates: Candidates::new(),
+            via: None,
         }
     }
 
@@ -44,6 +47,13 @@
         self
     }
 
+    /// Sets the balancer that sent the datagram first.
+    #[must_use]
+    pub const fn via(mut self, balancer: SocketAddrV4) -> Self {
+        self.via = Some(balancer);
+        self
+    }
+
     /// Sets how many agents have passed the datagram on.
     #[must_use]
     pub const fn hops(mut self, hops: u8) -> Self {
