--- /dev/null
+++ b/arbutus-io/src/admin/server.rs
@@ -0,0 +1,65 @@
+use std::net::SocketAddrV4;
+
+use futures_util::future;
+use gotham::{
+    helpers::http::{Body, response},
+    mime::{self, Mime},
+    state::{FromState, State},
+};
+use http::{Method, Response, StatusCode, Uri};
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+use super::AdminState;
+
+const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Serves the admin port until the process ends.
+///
+/// # Errors
+///
+/// Fails where `address` cannot be bound.
+pub async fn serve(address: SocketAddrV4, admin: AdminState) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    let new_handler = move || {
+        let admin = admin.clone();
+        Ok(move |state: State| {
+            let res = respond(&admin, &state);
+            (state, res)
+        })
+    };
+    tokio::spawn(async move {
+        gotham::bind_server(listener, new_handler, future::ok).await;
+    });
+    Ok(())
+}
+
+fn respond(admin: &AdminState, state: &State) -> Response<Body> {
+    if Method::borrow_from(state) != Method::GET {
+        return response::create_empty_response(state, StatusCode::METHOD_NOT_ALLOWED);
+    }
+    match Uri::borrow_from(state).path() {
+        "/health" => ok(state, mime::TEXT_PLAIN_UTF_8, "ok\n".to_owned()),
+        "/metrics" => {
+            let kind = OPENMETRICS.parse().unwrap_or(mime::TEXT_PLAIN_UTF_8);
+            ok(state, kind, admin.metrics())
+        }
+        "/config" => json(state, &admin.config()),
+        "/roster" => json(state, &admin.roster()),
+        _ => response::create_empty_response(state, StatusCode::NOT_FOUND),
+    }
+}
+
+fn json(state: &State, view: &impl Serialize) -> Response<Body> {
+    match serde_json::to_string(view) {
+        Ok(text) => ok(state, mime::APPLICATION_JSON, text),
+        Err(err) => {
+            tracing::warn!(%err, "admin_encoding_failed");
+            response::create_empty_response(state, StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn ok(state: &State, kind: Mime, text: String) -> Response<Body> {
+    response::create_response(state, StatusCode::OK, kind, text)
+}
--- /dev/null
+++ b/arbutus-io/src/control.rs
@@ -0,0 +1,12 @@
+//! Messages between the system's processes: QUIC with mutual TLS, one endpoint a process.
+
+mod connection_table;
+mod control_endpoint;
+mod control_error;
+mod control_event;
+mod tls_config;
+
+pub use control_endpoint::ControlEndpoint;
+pub use control_error::ControlError;
+pub use control_event::ControlEvent;
+pub use tls_config::{ALPN_CONTROL, ALPN_HANDOVER, CONTROL_NAME, ControlTls};
--- a/arbutus-io/src/lib.rs
+++ b/arbutus-io/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Sockets, HTTP and control transport of arbutusstage.
+//!
+//! The modules here feed the decisions of [`arbutus_core`] with datagrams, requests and time, and
+//! carry out the actions that come back.
+
+pub mod admin;
+pub mod clock;
+pub mod control;
+pub mod metrics;
+pub mod telemetry;
+pub mod udp;
--- /dev/null
+++ b/arbutus-io/src/udp.rs
@@ -0,0 +1,9 @@
+//! UDP sockets worked in batches.
+
+mod batch_receiver;
+mod batch_sender;
+mod bind;
+
+pub use batch_receiver::BatchReceiver;
+pub use batch_sender::BatchSender;
+pub use bind::{bind, bind_shared};
