feat(core): routing of packets and admission of new flows

A balancer needs one decision for each packet and an agent one for each packet that may open a flow. `route::forward` reads the owner of an established flow out of the connection ID and looks at no roster for it; first packets get the best four agents by weighted rendezvous hashing. `flow::FlowAdmission` accepts, passes on to the best peer by load reports, falls back to the balancer's candidates without reports, and refuses at once when nobody is left.

Not measured yet; the defaults of FlowPolicy are a start.

--- a/arbutus-core/src/lib.rs
+++ b/arbutus-core/src/lib.rs
@@ -6,9 +6,11 @@
 
 pub mod cid;
 pub mod config;
+pub mod flow;
 pub mod ident;
 pub mod keys;
 pub mod quic;
 pub mod roster;
+pub mod route;
 pub mod time;
 pub mod tunnel;
--- /dev/null
+++ b/arbutus-core/src/route.rs
@@ -0,0 +1,66 @@
+//! The balancer's decision on one packet: which agent gets it, or why nobody does.
+//!
+//! A packet of an established flow names its owner in its connection ID, and [`forward`] looks at
+//! nothing else: no roster, no table of flows. Only a packet that may open a flow needs the
+//! [`RouteTable`]: its candidates are the best agents of the service by weighted rendezvous
+//! hashing of the caller's address and the original connection ID, so that balancers with the
+//! same roster name the same agents without any talk between them.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::{net::SocketAddrV4, sync::Arc};
+//!
+//! use arbutus_core::{
+//!     config::{ConfigVersion, Service, Snapshot},
+//!     ident::Incarnation,
+//!     keys::{KeyRing, SystemKey},
+//!     roster::{AgentRecord, AgentState},
+//!     route::{self, Forward, RouteTable},
+//!     tunnel::Endpoints,
+//! };
+//!
+//! let address = |text: &str| text.parse::<SocketAddrV4>().expect("an address");
+//! let service = Service::new("lookup", address("192.0.2.1:443"));
+//! let agent = AgentRecord {
+//!     tunnel: address("10.0.0.7:4000"),
+//!     control: address("10.0.0.7:4001"),
+//!     name: Arc::from("lookup-1"),
+//!     failure_domain: Arc::from("mvd-a"),
+//!     tag: service.tag(),
+//!     incarnation: Incarnation::new(1),
+//!     version: 1,
+//!     state: AgentState::Ready,
+//!     weight_percent: 100,
+//! };
+//! let snapshot = Snapshot::new(ConfigVersion::new(1), [service]);
+//! let table = RouteTable::build(&snapshot, [&agent]);
+//! let keys = KeyRing::single(SystemKey::derive(&[7; 32]));
+//!
+//! let mut initial = vec![0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8];
+//! initial.resize(1_200, 0);
+//! let endpoints = Endpoints {
+//!     source: address("198.51.100.4:5000"),
+//!     destination: address("192.0.2.1:443"),
+//! };
+//! let Forward::Opening(hop) = route::forward(&table, &keys, endpoints, &initial) else {
+//!     panic!("the packet opens a flow");
+//! };
+//! assert_eq!(hop.to, agent.tunnel);
+//! ```
+
+mod drop_counts;
+mod drop_reason;
+mod forward;
+mod rendezvous;
+mod route_agent;
+mod route_table;
+mod service_route;
+
+pub use drop_counts::DropCounts;
+pub use drop_reason::DropReason;
+pub use forward::{Forward, Hop, forward};
+pub use rendezvous::flow_hash;
+pub use route_agent::RouteAgent;
+pub use route_table::RouteTable;
+pub use service_route::ServiceRoute;
--- /dev/null
+++ b/arbutus-core/src/route/forward.rs
@@ -0,0 +1,99 @@
+use std::net::SocketAddrV4;
+
+use super::{DropReason, RouteTable, ServiceRoute, flow_hash};
+use crate::{
+    cid::{self, CidError, FlowOwner},
+    keys::KeyRing,
+    quic::{self, PacketShape},
+    tunnel::{Candidates, Endpoints, MAX_PAYLOAD_BYTES, TunnelHeader},
+};
+
+/// Bytes of a long header that carry the version.
+const VERSION: std::ops::Range<usize> = 1..5;
+
+/// Where a datagram goes, and under which header.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hop {
+    /// The agent's tunnel address.
+    pub to: SocketAddrV4,
+    /// The header to put before the datagram.
+    pub header: TunnelHeader,
+}
+
+/// What a balancer does with a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Forward {
+    /// It belongs to an established flow and goes to the flow's owner.
+    Established(Hop),
+    /// It may open a flow and goes to the first candidate; the header names the others.
+    Opening(Hop),
+    /// It goes nowhere.
+    Drop(DropReason),
+}
+
+/// Decides on one packet of a caller.
+///
+/// The decision allocates nothing and takes no lock. The owner of an established flow comes from
+/// the connection ID alone, so that a balancer with an empty roster forwards it rightly; the table
+/// only tells which service the destination address belongs to.
+#[must_use]
+pub fn forward(
+    table: &RouteTable,
+    keys: &KeyRing,
+    endpoints: Endpoints,
+    payload: &[u8],
+) -> Forward {
+    decide(table, keys, endpoints, payload).unwrap_or_else(Forward::Drop)
+}
+
+fn decide(
+    table: &RouteTable,
+    keys: &KeyRing,
+    endpoints: Endpoints,
+    payload: &[u8],
+) -> Result<Forward, DropReason> {
+    if payload.len() > MAX_PAYLOAD_BYTES {
+        return Err(DropReason::Oversized);
+    }
+    let service = table
+        .get(endpoints.destination)
+        .ok_or(DropReason::UnknownAddress)?;
+    let shape = quic::inspect(payload).map_err(|_| DropReason::Truncated)?;
+    match (cid::decode(shape.dcid(), keys), shape) {
+        (Ok(owner), _) => to_owner(service, endpoints, &owner),
+        (Err(_), PacketShape::Opening { dcid, .. }) => to_candidates(service, endpoints, dcid),
+        (Err(_), PacketShape::Long { .. }) if payload[VERSION] == [0; 4] => {
+            Err(DropReason::Version)
+        }
+        (Err(CidError::UnknownKey), _) => Err(DropReason::UnknownKey),
+        (Err(CidError::Length | CidError::Foreign), _) => Err(DropReason::ForeignId),
+    }
+}
+
+fn to_owner(
+    service: &ServiceRoute,
+    endpoints: Endpoints,
+    owner: &FlowOwner,
+) -> Result<Forward, DropReason> {
+    if owner.tag != service.tag() {
+        return Err(DropReason::WrongService);
+    }
+    Ok(Forward::Established(Hop {
+        to: owner.agent,
+        header: TunnelHeader::new(endpoints, service.tag()),
+    }))
+}
+
+fn to_candidates(
+    service: &ServiceRoute,
+    endpoints: Endpoints,
+    dcid: &[u8],
+) -> Result<Forward, DropReason> {
+    let best = service.candidates(flow_hash(endpoints.source, dcid));
+    let (first, others) = best.as_slice().split_first().ok_or(DropReason::NoAgent)?;
+    let others: Candidates = others.iter().copied().collect();
+    Ok(Forward::Opening(Hop {
+        to: *first,
+        header: TunnelHeader::new(endpoints, service.tag()).candidates(others),
+    }))
+}
--- /dev/null
+++ b/arbutus-core/src/route/route_table.rs
@@ -0,0 +1,81 @@
+use std::{net::SocketAddrV4, sync::Arc};
+
+use indexmap::IndexMap;
+
+use super::ServiceRoute;
+use crate::{
+    config::{ConfigVersion, Snapshot},
+    ident::ServiceTag,
+    roster::AgentRecord,
+};
+
+/// What a balancer needs to place new flows: every service address with its agents.
+///
+/// A table never changes once built. [`RouteTable::with`] makes the next one, which shares every
+/// service that did not change.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    version: ConfigVersion,
+    /// Each entry's key is the address of its value.
+    services: IndexMap<SocketAddrV4, Arc<ServiceRoute>>,
+}
+
+impl RouteTable {
+    /// Makes a table without services.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Makes a table of all services in `snapshot`.
+    #[must_use]
+    pub fn build<'a>(
+        snapshot: &Snapshot,
+        records: impl IntoIterator<Item = &'a AgentRecord>,
+    ) -> Self {
+        let mut by_tag: IndexMap<ServiceTag, Vec<&AgentRecord>> = IndexMap::new();
+        for record in records {
+            by_tag.entry(record.tag).or_default().push(record);
+        }
+        let services = snapshot
+            .services
+            .iter()
+            .map(|(tag, service)| {
+                let records = by_tag.get(tag).map(Vec::as_slice).unwrap_or_default();
+                let route = ServiceRoute::build(service, records.iter().copied());
+                (service.address, Arc::new(route))
+            })
+            .collect();
+        Self {
+            version: snapshot.version,
+            services,
+        }
+    }
+
+    /// Makes the table that has `changed` in place of the services with the same addresses.
+    #[must_use]
+    pub fn with(&self, changed: impl IntoIterator<Item = ServiceRoute>) -> Self {
+        let mut table = self.clone();
+        for route in changed {
+            table.services.insert(route.address(), Arc::new(route));
+        }
+        table
+    }
+
+    /// The configuration that the table was built from.
+    #[must_use]
+    pub const fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// The service with the address `address`.
+    #[must_use]
+    pub fn get(&self, address: SocketAddrV4) -> Option<&ServiceRoute> {
+        self.services.get(&address).map(Arc::as_ref)
+    }
+
+    /// The services, in the order of the configuration.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<ServiceRoute>> {
+        self.services.values()
+    }
+}
