--- a/arbutus-io/src/admin/admin_state.rs
+++ b/arbutus-io/src/admin/admin_state.rs
@@ -32,7 +32,8 @@
     #[must_use]
     pub fn metrics(&self) -> String {
         let mut text = String::new();
-        if let Err(err) = prometheus_client::encoding::text::encode(&mut text, &self.registry.lock())
+        if let Err(err) =
+            prometheus_client::encoding::text::encode(&mut text, &self.registry.lock())
         {
             tracing::warn!(%err, "metrics_encoding_failed");
         }
--- a/arbutus-io/src/admin/server.rs
+++ b/arbutus-io/src/admin/server.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddrV4;
+use std::net::SocketAddr;
 
 use futures_util::future;
 use gotham::{
@@ -19,7 +19,7 @@
 /// # Errors
 ///
 /// Fails where `address` cannot be bound.
-pub async fn serve(address: SocketAddrV4, admin: AdminState) -> std::io::Result<()> {
+pub async fn serve(address: SocketAddr, admin: AdminState) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     let new_handler = move || {
         let admin = admin.clone();
--- a/arbutus-io/src/admin/views/agent_view.rs
+++ b/arbutus-io/src/admin/views/agent_view.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddrV4, sync::Arc};
+use std::{net::SocketAddr, net::SocketAddrV4, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -14,7 +14,7 @@
     /// Its control address.
     pub control: SocketAddrV4,
     /// Its admin port.
-    pub admin: SocketAddrV4,
+    pub admin: SocketAddr,
     /// Its failure domain.
     pub failure_domain: Arc<str>,
     /// Its life at its address.
--- a/arbutus-io/src/admin/views/balancer_view.rs
+++ b/arbutus-io/src/admin/views/balancer_view.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddrV4, sync::Arc};
+use std::{net::SocketAddr, net::SocketAddrV4, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -8,7 +8,7 @@
     /// Its name.
     pub name: Arc<str>,
     /// Its admin port.
-    pub admin: SocketAddrV4,
+    pub admin: SocketAddr,
     /// Its control address.
     pub control: SocketAddrV4,
     /// Its failure domain.
--- /dev/null
+++ b/arbutus-io/src/agent.rs
@@ -0,0 +1,16 @@
+//! The agent: ends callers' connections, admits requests to its backend server, tells outcomes.
+
+mod backend;
+mod caller_connection;
+mod caller_endpoint;
+mod cid_generator;
+mod flow_desk;
+mod headers;
+mod peer_client;
+mod request_desk;
+mod request_task;
+mod responder;
+mod return_path;
+mod tunnel_socket;
+
+pub use caller_endpoint::CallerEndpoint;
--- a/arbutus-io/src/control/control_endpoint.rs
+++ b/arbutus-io/src/control/control_endpoint.rs
@@ -4,6 +4,8 @@
     time::Duration,
 };
 
+use arbutus_core::keys::KeyRing;
+use arbutus_settings::tls::ControlTls;
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use indexmap::IndexSet;
@@ -11,10 +13,12 @@
 use tokio::sync::mpsc;
 
 use super::{
-    ControlError, ControlEvent, ControlTls,
+    ControlError, ControlEvent,
     connection_table::ConnectionTable,
-    tls_config::{ALPN_CONTROL, ALPN_HANDOVER, CONTROL_NAME},
+    counting_socket::CountingSocket,
+    tls_config::{self, ALPN_CONTROL, ALPN_HANDOVER, CONTROL_NAME},
 };
+use crate::{metrics::ControlMetrics, reset_key, udp};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 const EVENT_QUEUE: usize = 4_096;
@@ -50,14 +54,25 @@
     pub fn open(
         address: SocketAddrV4,
         tls: &ControlTls,
+        keys: &KeyRing,
+        metrics: &ControlMetrics,
     ) -> Result<(Self, mpsc::Receiver<ControlEvent>), Report<ControlError>> {
-        let endpoint = quinn::Endpoint::server(tls.server()?, SocketAddr::V4(address))
-            .change_context(ControlError::Bind)?;
+        let runtime = Arc::new(quinn::TokioRuntime);
+        let socket = udp::bind(address).change_context(ControlError::Bind)?;
+        let socket =
+            CountingSocket::wrap(socket, &*runtime, metrics).change_context(ControlError::Bind)?;
+        let endpoint = quinn::Endpoint::new_with_abstract_socket(
+            quinn::EndpointConfig::new(reset_key::of(keys.current())),
+            Some(tls_config::server(tls)?),
+            Arc::new(socket),
+            runtime,
+        )
+        .change_context(ControlError::Bind)?;
         let (events, rx) = mpsc::channel(EVENT_QUEUE);
         let shared = Arc::new(Shared {
             endpoint,
-            messages: tls.client(ALPN_CONTROL)?,
-            hand_over: tls.client(ALPN_HANDOVER)?,
+            messages: tls_config::client(tls, ALPN_CONTROL)?,
+            hand_over: tls_config::client(tls, ALPN_HANDOVER)?,
             connections: ConnectionTable::default(),
             hand_overs: ConnectionTable::default(),
             connecting: Mutex::default(),
@@ -165,7 +180,10 @@
             read_messages(shared, address, connection).await;
         }
         Some(ALPN_HANDOVER) => {
-            let _ = shared.events.send(ControlEvent::HandOver { connection }).await;
+            let _ = shared
+                .events
+                .send(ControlEvent::HandOver { connection })
+                .await;
         }
         _ => connection.close(1_u32.into(), b"unknown protocol"),
     }
@@ -194,7 +212,12 @@
                 Err(_) => break,
             },
         };
-        if shared.events.send(ControlEvent::Message { from, bytes }).await.is_err() {
+        if shared
+            .events
+            .send(ControlEvent::Message { from, bytes })
+            .await
+            .is_err()
+        {
             break;
         }
     }
@@ -205,7 +228,10 @@
     match stream.read_to_end(MAX_MESSAGE_BYTES).await {
         Ok(bytes) => {
             let bytes = Bytes::from(bytes);
-            let _ = shared.events.send(ControlEvent::Message { from, bytes }).await;
+            let _ = shared
+                .events
+                .send(ControlEvent::Message { from, bytes })
+                .await;
         }
         Err(err) => tracing::debug!(%err, %from, "control_stream_failed"),
     }
@@ -229,7 +255,10 @@
     });
 }
 
-async fn send_stream(connection: &quinn::Connection, bytes: &[u8]) -> Result<(), quinn::WriteError> {
+async fn send_stream(
+    connection: &quinn::Connection,
+    bytes: &[u8],
+) -> Result<(), quinn::WriteError> {
     let mut stream = connection.open_uni().await?;
     stream.write_all(bytes).await?;
     let _ = stream.finish();
--- a/arbutus-io/src/control/tls_config.rs
+++ b/arbutus-io/src/control/tls_config.rs
@@ -1,12 +1,9 @@
 use std::{sync::Arc, time::Duration};
 
+use arbutus_settings::tls::ControlTls;
 use error_stack::{Report, ResultExt};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use rustls::{
-    RootCertStore,
-    pki_types::{CertificateDer, PrivateKeyDer},
-    server::WebPkiClientVerifier,
-};
+use rustls::{RootCertStore, server::WebPkiClientVerifier};
 
 use super::ControlError;
 
@@ -20,58 +17,52 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 const INITIAL_RTT: Duration = Duration::from_millis(20);
 
-/// What a process needs to prove itself to the others, and to check them.
-#[derive(Debug)]
-pub struct ControlTls {
-    /// Who signs the certificates of the system's processes.
-    pub roots: RootCertStore,
-    /// This process's certificate, the signers behind it.
-    pub chain: Vec<CertificateDer<'static>>,
-    /// The certificate's key.
-    pub key: PrivateKeyDer<'static>,
+/// The side that takes connections.
+pub(super) fn server(tls: &ControlTls) -> Result<quinn::ServerConfig, Report<ControlError>> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots(tls)?, provider.clone())
+        .build()
+        .change_context(ControlError::Tls)?;
+    let mut server = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .change_context(ControlError::Tls)?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(tls.identity.chain.clone(), tls.identity.key.clone_key())
+        .change_context(ControlError::Tls)?;
+    server.alpn_protocols = vec![ALPN_CONTROL.to_vec(), ALPN_HANDOVER.to_vec()];
+    let crypto = QuicServerConfig::try_from(server).change_context(ControlError::Tls)?;
+    let mut cfg = quinn::ServerConfig::with_crypto(Arc::new(crypto));
+    cfg.transport_config(transport());
+    Ok(cfg)
 }
 
-impl ControlTls {
-    /// The side that takes connections.
-    pub(super) fn server(&self) -> Result<quinn::ServerConfig, Report<ControlError>> {
-        let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let verifier = WebPkiClientVerifier::builder_with_provider(
-            Arc::new(self.roots.clone()),
-            provider.clone(),
-        )
-        .build()
+/// The side that opens connections for `protocol`.
+pub(super) fn client(
+    files: &ControlTls,
+    protocol: &[u8],
+) -> Result<quinn::ClientConfig, Report<ControlError>> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .change_context(ControlError::Tls)?
+        .with_root_certificates(roots(files)?)
+        .with_client_auth_cert(files.identity.chain.clone(), files.identity.key.clone_key())
         .change_context(ControlError::Tls)?;
-        let mut tls = rustls::ServerConfig::builder_with_provider(provider)
-            .with_protocol_versions(&[&rustls::version::TLS13])
-            .change_context(ControlError::Tls)?
-            .with_client_cert_verifier(verifier)
-            .with_single_cert(self.chain.clone(), self.key.clone_key())
-            .change_context(ControlError::Tls)?;
-        tls.alpn_protocols = vec![ALPN_CONTROL.to_vec(), ALPN_HANDOVER.to_vec()];
-        let crypto = QuicServerConfig::try_from(tls).change_context(ControlError::Tls)?;
-        let mut cfg = quinn::ServerConfig::with_crypto(Arc::new(crypto));
-        cfg.transport_config(transport());
-        Ok(cfg)
-    }
+    tls.alpn_protocols = vec![protocol.to_vec()];
+    let crypto = QuicClientConfig::try_from(tls).change_context(ControlError::Tls)?;
+    let mut cfg = quinn::ClientConfig::new(Arc::new(crypto));
+    cfg.transport_config(transport());
+    Ok(cfg)
+}
 
-    /// The side that opens connections for `protocol`.
-    pub(super) fn client(
-        &self,
-        protocol: &[u8],
-    ) -> Result<quinn::ClientConfig, Report<ControlError>> {
-        let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let mut tls = rustls::ClientConfig::builder_with_provider(provider)
-            .with_protocol_versions(&[&rustls::version::TLS13])
-            .change_context(ControlError::Tls)?
-            .with_root_certificates(self.roots.clone())
-            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+fn roots(tls: &ControlTls) -> Result<Arc<RootCertStore>, Report<ControlError>> {
+    let mut roots = RootCertStore::empty();
+    for authority in &tls.authorities {
+        roots
+            .add(authority.clone())
             .change_context(ControlError::Tls)?;
-        tls.alpn_protocols = vec![protocol.to_vec()];
-        let crypto = QuicClientConfig::try_from(tls).change_context(ControlError::Tls)?;
-        let mut cfg = quinn::ClientConfig::new(Arc::new(crypto));
-        cfg.transport_config(transport());
-        Ok(cfg)
     }
+    Ok(Arc::new(roots))
 }
 
 fn transport() -> Arc<quinn::TransportConfig> {
--- a/arbutus-io/src/lib.rs
+++ b/arbutus-io/src/lib.rs
@@ -4,8 +4,10 @@
 //! carry out the actions that come back.
 
 pub mod admin;
+pub mod agent;
 pub mod clock;
 pub mod control;
 pub mod metrics;
+mod reset_key;
 pub mod telemetry;
 pub mod udp;
--- a/arbutus-io/src/udp.rs
+++ b/arbutus-io/src/udp.rs
@@ -3,7 +3,9 @@
 mod batch_receiver;
 mod batch_sender;
 mod bind;
+mod writable_poller;
 
 pub use batch_receiver::BatchReceiver;
 pub use batch_sender::BatchSender;
 pub use bind::{bind, bind_shared};
+pub use writable_poller::WritablePoller;
