feat(core): request admission machine and bindings

Cause: the agent needs one place that decides what runs, waits, goes to a peer, and what callers are told, without sockets or clocks.

Ruled out: expiry of bindings on the wall clock, since a step of the clock could separate acceptance from the memory of keys; only the issuing process judges its bindings, so its own monotonic clock serves both. Holding duplicates until the first attempt ends was ruled out too: a held duplicate needs a place and a deadline of its own.

A key that is answered not-run is closed for every binding issued so far, so that a delayed duplicate cannot run after the caller took the key elsewhere.

--- a/arbutus-core/src/lib.rs
+++ b/arbutus-core/src/lib.rs
@@ -4,11 +4,13 @@
 //! events and a [`time::Timestamp`] go in, actions come out. The daemons feed these machines, and
 //! so can any test or bench.
 
+pub mod binding;
 pub mod cid;
 pub mod config;
 pub mod ident;
 pub mod keys;
 pub mod quic;
+pub mod request;
 pub mod roster;
 pub mod time;
 pub mod tunnel;
