feat(io): the balancer's data path and the agent's connections

Workers forward batches of datagrams by connection ID; the agent ends callers' connections behind the tunnel and carries requests out as the decisions say.

--- a/arbutus-io/src/agent.rs
+++ b/arbutus-io/src/agent.rs
@@ -1,5 +1,6 @@
 //! The agent: ends callers' connections, admits requests to its backend server, tells outcomes.
 
+mod agent_error;
 mod backend;
 mod caller_connection;
 mod caller_endpoint;
@@ -12,5 +13,6 @@
 mod responder;
 mod return_path;
 mod tunnel_socket;
+mod upstream;
 
-pub use caller_endpoint::CallerEndpoint;
+pub use agent_error::AgentError;
--- a/arbutus-io/src/agent/flow_desk.rs
+++ b/arbutus-io/src/agent/flow_desk.rs
@@ -120,10 +120,17 @@
             open.insert(flow, connection);
             open.len()
         };
-        self.metrics.connections.set(count.try_into().unwrap_or(i64::MAX));
+        self.metrics
+            .connections
+            .set(count.try_into().unwrap_or(i64::MAX));
         self.handle(Event::Opened(flow));
     }
 
+    /// Notes that a request of `flow` has come.
+    pub(super) fn requested(&self, flow: FlowKey) {
+        self.handle(Event::Requested(flow));
+    }
+
     /// Notes that the connection of `flow` has ended.
     pub(super) fn closed(&self, flow: FlowKey) {
         let count = {
@@ -131,7 +138,9 @@
             open.swap_remove(&flow);
             open.len()
         };
-        self.metrics.connections.set(count.try_into().unwrap_or(i64::MAX));
+        self.metrics
+            .connections
+            .set(count.try_into().unwrap_or(i64::MAX));
         self.handle(Event::Closed(flow));
     }
 
--- a/arbutus-io/src/agent/request_desk.rs
+++ b/arbutus-io/src/agent/request_desk.rs
@@ -98,7 +98,9 @@
             let queued = u32::try_from(state.machine.queued()).unwrap_or(u32::MAX);
             (state.machine.in_hand(), queued)
         };
-        self.metrics.in_hand.set(i64::from(running) + i64::from(queued));
+        self.metrics
+            .in_hand
+            .set(i64::from(running) + i64::from(queued));
         self.flows.handle(flow::Event::Requests { running, queued });
         self.changed.notify_one();
     }
--- a/arbutus-io/src/agent/request_task.rs
+++ b/arbutus-io/src/agent/request_task.rs
@@ -1,27 +1,33 @@
-use std::{sync::Arc, time::Duration};
+use std::{future::Future, net::SocketAddrV4, pin::pin, sync::Arc, time::Duration};
 
-use arbutus_core::request::{Action, Attempt, Event, Outcome};
+use arbutus_core::request::{Action, Attempt, Event};
 use bytes::Bytes;
-use http::{HeaderValue, Uri, request};
+use http::{HeaderValue, Uri, header, request};
 use http_body_util::Full;
 use tokio::sync::mpsc;
 
 use super::{
-    backend::{BackendConnection, BackendPool},
+    backend::{BackendPool, RequestBody},
     headers,
     peer_client::PeerClient,
     request_desk::{RequestDesk, Ticket},
     responder::{CallerGone, Responder},
-    upstream::{Upstream, UpstreamBody, UpstreamStep},
+    upstream::{AttemptStep, Upstream, UpstreamBody, UpstreamStep},
 };
 
+/// Steps that wait until the task takes them; an attempt makes one at a time.
+const STEP_QUEUE: usize = 4;
+
 /// What the tasks of all requests share.
 #[derive(Clone)]
 pub(super) struct Services {
+    /// The decisions.
     pub(super) desk: Arc<RequestDesk>,
+    /// Connections to the backend server.
     pub(super) backend: Arc<BackendPool>,
+    /// Requests to peer agents.
     pub(super) peers: Arc<PeerClient>,
-    /// The host name for the backend server.
+    /// The `host` header for the backend server.
     pub(super) host: HeaderValue,
 }
 
@@ -32,16 +38,18 @@
     parts: request::Parts,
     body: Bytes,
     responder: Responder,
-    /// The attempt that has a connection, a request on its way or a response, if any.
+    /// The attempt that holds a connection or a response, if any.
     upstream: Option<Upstream>,
-    steps: mpsc::Receiver<UpstreamStep>,
-    steps_tx: mpsc::Sender<UpstreamStep>,
+    /// The body that is being relayed.
+    relayed: Option<UpstreamBody>,
+    steps: mpsc::Receiver<AttemptStep>,
+    steps_tx: mpsc::Sender<AttemptStep>,
     /// Whether the caller has all that it will get.
     settled: bool,
 }
 
 impl RequestTask {
-    /// Makes the task of an admitted request.
+    /// Makes the task of a request that the desk has taken in.
     pub(super) fn new(
         services: Services,
         ticket: Ticket,
@@ -49,7 +57,7 @@
         body: Bytes,
         responder: Responder,
     ) -> Self {
-        let (steps_tx, steps) = mpsc::channel(4);
+        let (steps_tx, steps) = mpsc::channel(STEP_QUEUE);
         Self {
             services,
             ticket,
@@ -57,6 +65,7 @@
             body,
             responder,
             upstream: None,
+            relayed: None,
             steps,
             steps_tx,
             settled: false,
@@ -65,32 +74,43 @@
 
     /// Runs until the request is over; `gone` ends when the caller's connection does.
     pub(super) async fn run(mut self, gone: impl Future<Output = ()>) {
-        tokio::pin!(gone);
-        let mut caller_gone = false;
-        while !(self.settled && self.upstream.is_none()) {
+        let mut gone = pin!(gone);
+        let mut is_gone = false;
+        while !self.is_over() {
             tokio::select! {
                 biased;
                 action = self.ticket.actions.recv() => match action {
                     Some(action) => self.act(action).await,
                     None => break,
                 },
+                () = &mut gone, if !is_gone => {
+                    is_gone = true;
+                    self.caller_gone();
+                }
                 step = self.steps.recv() => {
                     if let Some(step) = step {
-                        self.step(step).await;
+                        self.take_step(step);
                     }
                 }
-                () = &mut gone, if !caller_gone => {
-                    caller_gone = true;
-                    self.cancelled();
+                piece = next_piece(&mut self.relayed), if self.relayed.is_some() => {
+                    self.relay_piece(piece).await;
                 }
             }
         }
         self.services.desk.leave(self.ticket.id);
     }
 
+    fn is_over(&self) -> bool {
+        self.settled && self.upstream.is_none() && self.ticket.actions.is_empty()
+    }
+
     async fn act(&mut self, action: Action) {
         match action {
-            Action::Connect { attempt } => self.connect(attempt),
+            Action::Connect { attempt } => {
+                let backend = self.services.backend.clone();
+                let upstream = Upstream::connect(attempt, backend, self.steps_tx.clone());
+                self.upstream = Some(upstream);
+            }
             Action::Send { attempt, deadline } => self.send(attempt, deadline),
             Action::HandOver {
                 attempt,
@@ -101,24 +121,15 @@
                 attempt,
                 peer,
                 deadline,
-            } => {
-                let req = self.peer_request(deadline);
-                let peers = self.services.peers.clone();
-                let body = self.body.clone();
-                self.upstream = Some(Upstream::start_peer(
-                    attempt,
-                    self.steps_tx.clone(),
-                    async move { peers.send(peer, req, body).await },
-                ));
-            }
+            } => self.send_to_peer(attempt, peer, deadline),
             Action::Relay { attempt, offer } => self.relay(attempt, offer.as_deref()).await,
             Action::Finish { .. } => {
                 let result = self.responder.finish().await;
-                self.settle(result, Outcome::Ran.as_str());
+                self.settle("ran", result);
             }
             Action::Abort { .. } => {
                 self.responder.abort();
-                self.settle(Ok(()), "aborted");
+                self.settle("aborted", Ok(()));
             }
             Action::Answer { answer, .. } => {
                 tracing::debug!(
@@ -129,85 +140,165 @@
                     "answered"
                 );
                 let result = self.responder.answer(&answer).await;
-                self.settle(result, answer.outcome.as_str());
+                self.settle(answer.outcome.as_str(), result);
             }
             Action::Cancel { attempt } => self.cancel(attempt),
         }
     }
 
-    fn connect(&mut self, attempt: Attempt) {
-        let backend = self.services.backend.clone();
-        let connecting = async move { backend.connect().await };
-        self.upstream = Some(Upstream::connect(
-            attempt,
-            self.steps_tx.clone(),
-            connecting,
-        ));
-    }
-
     fn send(&mut self, attempt: Attempt, deadline: Duration) {
         let req = self.backend_request(deadline);
         let tx = self.steps_tx.clone();
-        match &mut self.upstream {
-            Some(upstream) if upstream.attempt() == attempt => upstream.send(req, tx),
-            _ => self.tell(Event::UpstreamFailed {
-                attempt,
-                sent: false,
-            }),
+        let current = self.upstream.as_mut().filter(|it| it.attempt == attempt);
+        let went = current.is_some_and(|upstream| upstream.send(req, tx));
+        if !went {
+            let sent = false;
+            self.tell(Event::UpstreamFailed { attempt, sent });
         }
     }
 
-    /// Takes in what the attempt's own task has come to.
-    async fn step(&mut self, step: UpstreamStep) {
-        let current = self.upstream.as_ref().map(Upstream::attempt);
-        if current != Some(step.attempt()) {
+    fn send_to_peer(&mut self, attempt: Attempt, peer: SocketAddrV4, deadline: Duration) {
+        let upstream = Upstream::send_to_peer(
+            attempt,
+            self.services.peers.clone(),
+            peer,
+            self.peer_request(deadline),
+            self.body.clone(),
+            self.steps_tx.clone(),
+        );
+        self.upstream = Some(upstream);
+    }
+
+    /// Takes in what an attempt has come to; one that is over is not listened to.
+    fn take_step(&mut self, step: AttemptStep) {
+        let AttemptStep { attempt, step } = step;
+        let Some(upstream) = self.upstream.as_mut().filter(|it| it.attempt == attempt) else {
             return;
-        }
+        };
         match step {
-            UpstreamStep::Connected {
-                attempt,
-                connection,
-            } => {
-                self.keep(connection);
+            UpstreamStep::Connected(connection) => {
+                upstream.connected(connection);
                 self.tell(Event::Connected { attempt });
             }
-            UpstreamStep::Head {
-                attempt,
-                parts,
-                body,
-            } => {
+            UpstreamStep::Head(parts, body) => {
                 let head = headers::upstream_head(&parts);
-                if let Some(upstream) = &mut self.upstream {
-                    upstream.responded(parts, body);
-                }
+                upstream.responded(parts, body);
                 self.tell(Event::UpstreamHead { attempt, head });
-                self.discard_unless_relayed(attempt).await;
             }
-            UpstreamStep::Failed { attempt, sent } => {
+            UpstreamStep::Failed(failed) => {
+                let sent = failed.sent;
                 self.upstream = None;
                 self.tell(Event::UpstreamFailed { attempt, sent });
             }
         }
     }
 
-    /// Reads a response that the decisions do not relay to its end, to free its connection.
-    async fn discard_unless_relayed(&mut self, attempt: Attempt) {
-        let wanted = self.peek_relay(attempt).await;
-        if wanted {
+    async fn relay(&mut self, attempt: Attempt, offer: Option<&str>) {
+        let current = self.upstream.as_mut().filter(|it| it.attempt == attempt);
+        let Some((parts, body)) = current.and_then(Upstream::take_response) else {
             return;
+        };
+        self.relayed = Some(body);
+        if self.responder.relay(*parts, offer).await.is_err() {
+            self.caller_gone();
         }
-        let Some(mut upstream) = self.upstream.take() else {
+    }
+
+    async fn relay_piece(&mut self, piece: Result<Option<Bytes>, super::upstream::Truncated>) {
+        let Some(attempt) = self.upstream.as_ref().map(|it| it.attempt) else {
+            self.relayed = None;
             return;
         };
-        match upstream.discard().await {
-            Ok(connection) => {
-                self.put_back(connection).await;
+        match piece {
+            Ok(Some(bytes)) => {
+                if self.responder.data(bytes).await.is_err() {
+                    self.caller_gone();
+                }
+            }
+            Ok(None) => {
+                if let Some(body) = self.relayed.take() {
+                    body.put_back(&self.services.backend).await;
+                }
+                self.upstream = None;
                 self.tell(Event::UpstreamEnded { attempt });
             }
-            Err(_) => self.tell(Event::UpstreamFailed {
-                attempt,
-                sent: true,
-            }),
+            Err(_) => {
+                self.relayed = None;
+                self.upstream = None;
+                let sent = true;
+                self.tell(Event::UpstreamFailed { attempt, sent });
+            }
         }
     }
+
+    /// Closes what the attempt holds; a connection that is closed frees its slot.
+    fn cancel(&mut self, attempt: Attempt) {
+        if self
+            .upstream
+            .as_ref()
+            .is_some_and(|it| it.attempt == attempt)
+        {
+            self.relayed = None;
+            self.upstream = None;
+            self.tell(Event::UpstreamClosed { attempt });
+        }
+    }
+
+    fn caller_gone(&mut self) {
+        if !self.settled {
+            self.settle("cancelled", Ok(()));
+            let request = self.ticket.id;
+            self.tell(Event::CallerCancelled { request });
+        }
+    }
+
+    fn settle(&mut self, outcome: &'static str, result: Result<(), CallerGone>) {
+        self.settled = true;
+        self.services.desk.count(outcome);
+        if result.is_err() {
+            tracing::debug!(request = self.ticket.id.get(), "caller_gone_before_answer");
+        }
+    }
+
+    fn tell(&self, event: Event) {
+        self.services.desk.handle(event);
+    }
+
+    fn backend_request(&self, deadline: Duration) -> http::Request<RequestBody> {
+        let mut req = http::Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.parts.method.clone();
+        *req.uri_mut() = origin_form(&self.parts.uri);
+        *req.headers_mut() = self.parts.headers.clone();
+        let fields = req.headers_mut();
+        headers::strip(fields);
+        fields.remove(headers::BINDING);
+        fields.remove(header::CONTENT_LENGTH);
+        fields.insert(header::HOST, self.services.host.clone());
+        headers::set_deadline(fields, deadline);
+        req
+    }
+
+    fn peer_request(&self, deadline: Duration) -> http::Request<()> {
+        let mut req = http::Request::new(());
+        *req.method_mut() = self.parts.method.clone();
+        *req.uri_mut() = self.parts.uri.clone();
+        *req.headers_mut() = self.parts.headers.clone();
+        headers::set_deadline(req.headers_mut(), deadline);
+        req
+    }
+}
+
+async fn next_piece(
+    body: &mut Option<UpstreamBody>,
+) -> Result<Option<Bytes>, super::upstream::Truncated> {
+    match body {
+        Some(body) => body.data().await,
+        None => Ok(None),
+    }
+}
+
+/// The path and query alone, as a request to a server carries them.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map(Uri::from).unwrap_or_default()
 }
--- a/arbutus-io/src/agent/tunnel_socket.rs
+++ b/arbutus-io/src/agent/tunnel_socket.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::VecDeque,
     io::{self, IoSliceMut},
     net::{SocketAddr, SocketAddrV4},
     pin::Pin,
@@ -18,6 +19,7 @@
 use tokio::{io::Interest, net::UdpSocket};
 
 use super::{
+    cid_generator::CidGenerator,
     flow_desk::{FlowDesk, Verdict},
     return_path::ReturnPath,
 };
@@ -47,7 +49,7 @@
 struct Receiver {
     batch: BatchReceiver,
     /// Datagrams for the endpoint that did not fit its buffers at the last call.
-    ready: std::collections::VecDeque<Delivery>,
+    ready: VecDeque<Delivery>,
 }
 
 #[derive(Debug)]
@@ -79,7 +81,7 @@
         let state = UdpSocketState::new((&socket).into())?;
         let receiver = Receiver {
             batch: BatchReceiver::new(&state),
-            ready: std::collections::VecDeque::new(),
+            ready: VecDeque::new(),
         };
         Ok(Self {
             io: Arc::new(UdpSocket::from_std(socket)?),
@@ -93,6 +95,16 @@
         })
     }
 
+    /// The generator of connection IDs that lead here.
+    pub(super) fn cid_generator(&self) -> CidGenerator {
+        CidGenerator::new(self.owner, self.keys.clone())
+    }
+
+    /// The system's keys.
+    pub(super) const fn keys(&self) -> &KeyRing {
+        &self.keys
+    }
+
     /// Receives one batch and sorts it.
     fn receive(&self, receiver: &mut Receiver) -> io::Result<()> {
         let Receiver { batch, ready } = receiver;
--- /dev/null
+++ b/arbutus-io/src/balancer.rs
@@ -0,0 +1,13 @@
+//! The balancer: takes callers' datagrams from the fabric, sends each to an agent, and returns
+//! what the agents answer.
+
+mod balancer_error;
+mod fabric_sources;
+mod inbound;
+mod outbound;
+mod shared;
+mod workers;
+
+pub use balancer_error::BalancerError;
+pub use shared::DataPath;
+pub use workers::spawn_workers;
--- /dev/null
+++ b/arbutus-io/src/balancer/inbound.rs
@@ -0,0 +1,137 @@
+use std::{io, net::SocketAddrV4, sync::Arc};
+
+use arbutus_core::{
+    route::{self, DropReason, Forward, Hop, RouteTable},
+    tunnel::{self, TunnelError},
+};
+use prometheus_client::metrics::counter::Counter;
+use quinn_udp::UdpSocketState;
+use tokio::{io::Interest, net::UdpSocket};
+
+use super::DataPath;
+use crate::{
+    metrics::ReasonLabel,
+    udp::{BatchReceiver, BatchSender},
+};
+
+/// One worker's way from the fabric to the agents.
+pub(super) struct Inbound {
+    shared: Arc<DataPath>,
+    fabric: Arc<UdpSocket>,
+    fabric_state: UdpSocketState,
+    tunnel: Arc<UdpSocket>,
+    tunnel_state: UdpSocketState,
+    receiver: BatchReceiver,
+    sender: BatchSender,
+    /// At the index of each drop reason.
+    drops: Vec<Counter>,
+}
+
+impl Inbound {
+    /// Makes the way over the two sockets.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a socket's options cannot be set.
+    pub(super) fn new(
+        shared: Arc<DataPath>,
+        fabric: Arc<UdpSocket>,
+        tunnel: Arc<UdpSocket>,
+    ) -> io::Result<Self> {
+        let fabric_state = UdpSocketState::new((&*fabric).into())?;
+        let drops = DropReason::ALL
+            .iter()
+            .map(|reason| {
+                let reason = reason.name();
+                let label = ReasonLabel { reason };
+                shared.metrics.dropped.get_or_create(&label).clone()
+            })
+            .collect();
+        Ok(Self {
+            receiver: BatchReceiver::new(&fabric_state),
+            tunnel_state: UdpSocketState::new((&*tunnel).into())?,
+            sender: BatchSender::new(),
+            shared,
+            fabric,
+            fabric_state,
+            tunnel,
+            drops,
+        })
+    }
+
+    /// Forwards until the process ends.
+    pub(super) async fn run(mut self) -> io::Result<()> {
+        loop {
+            self.fabric.readable().await?;
+            match self.forward_batch() {
+                Ok(()) => {}
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                Err(err) => tracing::warn!(%err, "fabric_receive_failed"),
+            }
+        }
+    }
+
+    fn forward_batch(&mut self) -> io::Result<()> {
+        let Self {
+            shared,
+            fabric,
+            fabric_state,
+            tunnel,
+            tunnel_state,
+            receiver,
+            sender,
+            drops,
+        } = self;
+        let table = shared.table.load();
+        let receive = || {
+            receiver.receive(fabric, fabric_state, |from, datagram| {
+                let add = |hop: &Hop, payload: &[u8]| {
+                    let write =
+                        |buf: &mut Vec<u8>| tunnel::encode(&hop.header, payload, &shared.keys, buf);
+                    sender.add(tunnel, tunnel_state, hop.to, write)
+                };
+                forward_one(shared, &table, drops, from, datagram, add);
+            })
+        };
+        let result = fabric.try_io(Interest::READABLE, receive);
+        sender.flush(tunnel, tunnel_state);
+        result.map(|_| ())
+    }
+}
+
+fn forward_one(
+    shared: &DataPath,
+    table: &RouteTable,
+    drops: &[Counter],
+    from: SocketAddrV4,
+    datagram: &[u8],
+    add: impl FnOnce(&Hop, &[u8]) -> Result<(), TunnelError>,
+) {
+    if !shared.fabric.accept(from) {
+        shared.bad_source.inc();
+        return;
+    }
+    let (endpoints, payload) = match tunnel::decode_fabric(datagram) {
+        Ok(decoded) => decoded,
+        Err(TunnelError::Oversized) => {
+            shared.oversized.inc();
+            return;
+        }
+        Err(_) => {
+            shared.bad_header.inc();
+            return;
+        }
+    };
+    let (hop, counter) = match route::forward(table, &shared.keys, endpoints, payload) {
+        Forward::Established(hop) => (hop, &shared.metrics.forwarded),
+        Forward::Opening(hop) => (hop, &shared.metrics.opened),
+        Forward::Drop(reason) => {
+            drops[reason.index()].inc();
+            return;
+        }
+    };
+    match add(&hop, payload) {
+        Ok(()) => counter.inc(),
+        Err(_) => shared.oversized.inc(),
+    };
+}
--- a/arbutus-io/src/lib.rs
+++ b/arbutus-io/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod agent;
+pub mod balancer;
 pub mod clock;
 pub mod control;
 pub mod metrics;
--- a/arbutus-io/src/udp/batch_receiver.rs
+++ b/arbutus-io/src/udp/batch_receiver.rs
@@ -7,6 +7,8 @@
 
 /// Room for one datagram, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
+/// Most bytes that the kernel joins into one buffer.
+const MAX_GRO_BYTES: usize = 65_536;
 
 /// Receives datagrams many at a time and hands them on one by one.
 pub struct BatchReceiver {
@@ -20,7 +22,7 @@
     /// Makes a receiver for the socket that `state` describes.
     #[must_use]
     pub fn new(state: &UdpSocketState) -> Self {
-        let slot_bytes = DATAGRAM_BYTES * state.gro_segments();
+        let slot_bytes = (DATAGRAM_BYTES * state.gro_segments()).min(MAX_GRO_BYTES);
         Self {
             buf: vec![0; slot_bytes * BATCH_SIZE],
             slot_bytes,
