feat(core): roster, membership machines and configuration spread

Balancers need to know the agents and one another without a list of them and without a coordination service, within a small budget of bytes. Both machines take events and a timestamp and give actions: agents send heartbeats to a few homes told by rendezvous hashing, balancers flood what is new over a few links and compare digests of two levels, and configuration travels as pages of what changed after a version.

Ruled out: full state in gossip and heartbeats that spread (bytes grow with the fleet), and a watch on the store at every node (calls grow with the fleet).

--- /dev/null
+++ b/arbutus-core/src/membership/balancer_node/records.rs
@@ -0,0 +1,183 @@
+//! Merging records and sending on what is new.
+
+use std::net::SocketAddrV4;
+
+use super::BalancerNode;
+use crate::{
+    ident::ServiceTag,
+    membership::{Message, Push},
+    roster::{AgentState, MemberKey, Merge, Rank, Update},
+    time::Timestamp,
+};
+
+impl BalancerNode {
+    /// Bytes of records in one message of a repair.
+    const CHUNK_BYTES: usize = 8 * 1_024;
+
+    pub(super) fn on_push(&mut self, from: SocketAddrV4, push: Push, now: Timestamp) {
+        for update in push.updates {
+            self.merge(update, Some(from), now);
+        }
+    }
+
+    /// Merges a record from another node, or one made here where `from` is nothing.
+    pub(super) fn merge(&mut self, update: Update, from: Option<SocketAddrV4>, now: Timestamp) {
+        let key = update.key();
+        if self.refutes_own(&update, now) {
+            return;
+        }
+        let old_tag = self.tag_of(&key);
+        match self.roster.merge(update, now) {
+            Merge::Changed => {
+                self.changed_tags.extend(old_tag);
+                self.on_change(&key, from, now);
+            }
+            Merge::Known => {
+                if let Some(from) = from {
+                    self.overlay.has(from, &key);
+                }
+            }
+            Merge::Stale => {
+                let link = from.and_then(|from| self.overlay.get_mut(from));
+                if let Some(link) = link {
+                    link.enqueue(&key);
+                }
+            }
+            Merge::Ignored => {}
+            Merge::Conflict => self.invariant_violations += 1,
+        }
+    }
+
+    fn on_change(&mut self, key: &MemberKey, from: Option<SocketAddrV4>, now: Timestamp) {
+        if !(self.is_joining && from.is_some()) {
+            self.overlay.enqueue(key, from);
+        }
+        match key {
+            MemberKey::Agent(tunnel) => {
+                self.changed_tags.extend(self.tag_of(key));
+                self.review_watch(*tunnel, now);
+            }
+            MemberKey::Balancer(_) => self.homes_outdated = true,
+            MemberKey::Domain(name) => {
+                self.homes_outdated = true;
+                self.changed_tags.extend(self.roster.tags_in(name));
+                self.refute_own_domain(name, now);
+            }
+        }
+    }
+
+    fn tag_of(&self, key: &MemberKey) -> Option<ServiceTag> {
+        match key {
+            MemberKey::Agent(tunnel) => self.roster.agent(*tunnel).map(|agent| agent.tag),
+            _ => None,
+        }
+    }
+
+    /// Raises this balancer's own rank where another one's word about it is above it.
+    fn refutes_own(&mut self, update: &Update, now: Timestamp) -> bool {
+        let rank = match update {
+            Update::Balancer { record, .. } if record.control == self.record.control => {
+                record.rank()
+            }
+            Update::BalancerRank { control, rank, .. } if *control == self.record.control => *rank,
+            _ => return false,
+        };
+        self.refute(rank, now);
+        true
+    }
+
+    /// Goes above a rank that others hold of this balancer.
+    pub(super) fn refute(&mut self, rank: Rank, now: Timestamp) {
+        if rank <= self.record.rank() {
+            return;
+        }
+        if rank.incarnation > self.record.incarnation {
+            self.record.incarnation = rank.incarnation.next();
+            self.record.version = 1;
+        } else {
+            self.record.version = rank.version + 1;
+        }
+        let record = self.record.clone();
+        let key = MemberKey::Balancer(record.control);
+        self.roster
+            .merge(Update::Balancer { record, age_s: 0 }, now);
+        self.overlay.enqueue(&key, None);
+    }
+
+    /// Says that a member is no longer heard.
+    pub(super) fn suspect(&mut self, key: &MemberKey, now: Timestamp) {
+        let Some(rank) = self.roster.rank(key) else {
+            return;
+        };
+        if !rank.state.is_live() {
+            return;
+        }
+        let rank = Rank {
+            state: AgentState::Suspect,
+            ..rank
+        };
+        let age_s = 0;
+        let update = match *key {
+            MemberKey::Agent(tunnel) => Update::AgentRank {
+                tunnel,
+                rank,
+                age_s,
+            },
+            MemberKey::Balancer(control) => Update::BalancerRank {
+                control,
+                rank,
+                age_s,
+            },
+            MemberKey::Domain(_) => return,
+        };
+        self.merge(update, None, now);
+    }
+
+    /// Sends what is new over each link, as much as a round allows.
+    pub(super) fn push_changes(&mut self, now: Timestamp) {
+        for index in 0..self.overlay.links.len() {
+            let link = &mut self.overlay.links[index];
+            let to = link.control;
+            let (mut updates, mut bytes, mut taken) = (Vec::new(), 0, 0);
+            for key in &link.pending {
+                if bytes >= self.settings.push_bytes {
+                    break;
+                }
+                taken += 1;
+                if let Some(update) = self.roster.update(key, true, now) {
+                    bytes += encoded_bytes(&update);
+                    updates.push(update);
+                }
+            }
+            link.pending.drain(..taken);
+            if !updates.is_empty() {
+                self.send(to, &Message::Push(Push { updates }));
+            }
+        }
+    }
+
+    /// Sends whole records, in several messages where they are many.
+    pub(super) fn send_records(&mut self, to: SocketAddrV4, keys: &[MemberKey], now: Timestamp) {
+        let mut updates = Vec::new();
+        let mut bytes = 0;
+        for key in keys {
+            let Some(update) = self.roster.update(key, false, now) else {
+                continue;
+            };
+            bytes += encoded_bytes(&update);
+            updates.push(update);
+            if bytes >= Self::CHUNK_BYTES {
+                let updates = std::mem::take(&mut updates);
+                self.send(to, &Message::Push(Push { updates }));
+                bytes = 0;
+            }
+        }
+        if !updates.is_empty() {
+            self.send(to, &Message::Push(Push { updates }));
+        }
+    }
+}
+
+fn encoded_bytes(update: &Update) -> usize {
+    postcard::to_stdvec(update).map_or(0, |bytes| bytes.len())
+}
--- a/arbutus-core/src/roster.rs
+++ b/arbutus-core/src/roster.rs
@@ -1,7 +1,28 @@
-//! Who is there: records of agents, each with one author.
+//! Who is there: records of agents and balancers, each with one author, and how copies merge.
 
 mod agent_record;
 mod agent_state;
+mod balancer_record;
+mod digest_tree;
+mod domain_notice;
+mod member_key;
+mod merge;
+mod rank;
+pub mod rendezvous;
+mod roster_entry;
+mod roster_repair;
+mod roster_table;
+mod update;
 
 pub use agent_record::AgentRecord;
 pub use agent_state::AgentState;
+pub use balancer_record::BalancerRecord;
+pub use digest_tree::{DigestTree, LeafId};
+pub use domain_notice::DomainNotice;
+pub use member_key::MemberKey;
+pub use merge::Merge;
+pub use rank::Rank;
+pub use roster_entry::RosterEntry;
+pub use roster_repair::ListedMember;
+pub use roster_table::Roster;
+pub use update::Update;
--- a/arbutus-core/src/roster/agent_record.rs
+++ b/arbutus-core/src/roster/agent_record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::AgentState;
+use super::{AgentState, Rank};
 use crate::ident::{Incarnation, ServiceTag};
 
 /// What is known of one agent.
@@ -31,10 +31,19 @@
 }
 
 impl AgentRecord {
+    /// What decides between two copies of the record.
+    #[must_use]
+    pub const fn rank(&self) -> Rank {
+        Rank {
+            incarnation: self.incarnation,
+            version: self.version,
+            state: self.state,
+        }
+    }
+
     /// Whether this record replaces `other`, which has the same key.
     #[must_use]
     pub fn supersedes(&self, other: &Self) -> bool {
-        let rank = |it: &Self| (it.incarnation, it.version, it.state);
-        rank(self) > rank(other)
+        self.rank() > other.rank()
     }
 }
--- /dev/null
+++ b/arbutus-core/src/roster/member_key.rs
@@ -0,0 +1,37 @@
+use std::{hash::Hasher, net::SocketAddrV4, sync::Arc};
+
+use siphasher::sip::SipHasher13;
+
+use super::rendezvous;
+
+/// What a record in the roster is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum MemberKey {
+    /// The agent with this tunnel address.
+    Agent(SocketAddrV4),
+    /// The balancer with this control address.
+    Balancer(SocketAddrV4),
+    /// A failure domain.
+    Domain(Arc<str>),
+}
+
+impl MemberKey {
+    /// A number for the key, the same at every node and spread evenly.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        match self {
+            Self::Agent(address) => rendezvous::mix(rendezvous::address_number(*address)),
+            Self::Balancer(address) => {
+                rendezvous::mix(rendezvous::address_number(*address) | 1 << 62)
+            }
+            Self::Domain(name) => name_number(name),
+        }
+    }
+}
+
+/// A number for a name, the same at every node.
+fn name_number(name: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/arbutus-core/src/spread.rs
@@ -0,0 +1,16 @@
+//! How a configuration spreads: versions by service, pages of what changed, reads of the store.
+
+mod config_book;
+mod config_page;
+mod page_outcome;
+mod staging;
+mod store_read;
+mod store_schedule;
+mod versioned_service;
+
+pub use config_book::ConfigBook;
+pub use config_page::{ConfigPage, ConfigPull};
+pub use page_outcome::PageOutcome;
+pub use store_read::StoreRead;
+pub use store_schedule::StoreSchedule;
+pub use versioned_service::VersionedService;
--- /dev/null
+++ b/arbutus-core/src/spread/config_book.rs
@@ -0,0 +1,303 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use indexmap::IndexMap;
+
+use super::{ConfigPage, ConfigPull, PageOutcome, VersionedService, staging::Staging};
+use crate::{
+    config::{ConfigVersion, Service, Snapshot},
+    ident::ServiceTag,
+};
+
+/// The configuration in force at a node, with the version that last changed each service.
+#[derive(Debug, Default)]
+pub struct ConfigBook {
+    /// Its version never falls.
+    snapshot: Arc<Snapshot>,
+    /// Has the tags of `snapshot`; none is above its version.
+    versions: BTreeMap<ServiceTag, ConfigVersion>,
+    /// When services were removed, as far back as `removals_after`.
+    removals: IndexMap<ServiceTag, ConfigVersion>,
+    removals_after: ConfigVersion,
+    staging: Option<Staging>,
+    invariant_violations: u64,
+}
+
+impl ConfigBook {
+    /// Bytes of services in one page.
+    const PAGE_BYTES: usize = 16 * 1_024;
+    /// Removals remembered.
+    const REMOVALS: usize = 1_024;
+
+    /// Makes a book without a configuration.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub const fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    /// The version in force.
+    #[must_use]
+    pub fn version(&self) -> ConfigVersion {
+        self.snapshot.version
+    }
+
+    /// Attempts to put a lower version in force, or another content under the same version.
+    #[must_use]
+    pub const fn invariant_violations(&self) -> u64 {
+        self.invariant_violations
+    }
+
+    /// The service, if it changed after `since`.
+    #[must_use]
+    pub fn service_after(&self, tag: ServiceTag, since: ConfigVersion) -> Option<VersionedService> {
+        let version = *self.versions.get(&tag)?;
+        let service = self.snapshot.services.get(&tag)?;
+        (version > since).then(|| VersionedService {
+            version,
+            service: service.clone(),
+        })
+    }
+
+    /// Takes in a whole configuration read from the store; tells whether it is now in force.
+    ///
+    /// An older one, as a lagging store may answer, is left aside.
+    pub fn adopt_snapshot(&mut self, read: &Snapshot) -> bool {
+        if read.version < self.version() {
+            return false;
+        }
+        if read.version == self.version() {
+            self.check_same(read);
+            return false;
+        }
+        let changed: Vec<VersionedService> = read
+            .services
+            .iter()
+            .filter(|(tag, service)| self.snapshot.services.get(*tag) != Some(*service))
+            .map(|(_, service)| VersionedService {
+                version: read.version,
+                service: service.clone(),
+            })
+            .collect();
+        let removed: Vec<ServiceTag> = self
+            .snapshot
+            .services
+            .keys()
+            .filter(|tag| !read.services.contains_key(*tag))
+            .copied()
+            .collect();
+        self.change(read.version, changed, &removed);
+        true
+    }
+
+    /// The first or a further page of what has changed after `pull.since`.
+    #[must_use]
+    pub fn page(&self, pull: ConfigPull) -> ConfigPage {
+        let reset = pull.since < self.removals_after;
+        let since = if reset {
+            ConfigVersion::NONE
+        } else {
+            pull.since
+        };
+        let mut services = Vec::new();
+        let mut bytes = 0;
+        let mut more = false;
+        for (tag, version) in self.versions_after(pull.after) {
+            if version <= since {
+                continue;
+            }
+            let Some(service) = self.snapshot.services.get(&tag) else {
+                continue;
+            };
+            let size = encoded_bytes(service);
+            if bytes + size > Self::PAGE_BYTES && !services.is_empty() {
+                more = true;
+                break;
+            }
+            bytes += size;
+            let service = service.clone();
+            services.push(VersionedService { version, service });
+        }
+        ConfigPage {
+            since: pull.since,
+            after: pull.after,
+            to: self.version(),
+            reset,
+            services,
+            removed: self.removed_after(pull),
+            more,
+        }
+    }
+
+    /// Asks for what is lacking here, going on with pages that have come already.
+    #[must_use]
+    pub fn pull(&self) -> ConfigPull {
+        match &self.staging {
+            Some(staging) if staging.complete => ConfigPull {
+                since: staging.first_to,
+                after: None,
+            },
+            Some(staging) => ConfigPull {
+                since: staging.since,
+                after: staging.after,
+            },
+            None => ConfigPull {
+                since: self.version(),
+                after: None,
+            },
+        }
+    }
+
+    /// Takes in a page from another node.
+    pub fn take_page(&mut self, page: ConfigPage) -> PageOutcome {
+        if page.to <= self.version() {
+            return PageOutcome::Known;
+        }
+        let is_whole = page.after.is_none() && !page.more;
+        match self.staging.take() {
+            Some(staging) if staging.complete && is_whole => self.finish(staging, page),
+            Some(staging) if staging.continues_with(&page) => self.extend(staging, page),
+            staging if page.since <= self.version() && page.after.is_none() => {
+                if is_whole {
+                    self.apply(page);
+                    return PageOutcome::Adopted;
+                }
+                let is_further = staging.is_some();
+                self.staging = staging.or_else(|| Some(Staging::new(page)));
+                if is_further {
+                    return PageOutcome::Known;
+                }
+                PageOutcome::Ask(self.pull())
+            }
+            staging => {
+                self.staging = staging;
+                PageOutcome::Known
+            }
+        }
+    }
+
+    /// Forgets pages of which no more came.
+    pub fn abandon_staging(&mut self) {
+        self.staging = None;
+    }
+
+    fn extend(&mut self, mut staging: Staging, page: ConfigPage) -> PageOutcome {
+        staging.add(page.services, page.more);
+        self.staging = Some(staging);
+        PageOutcome::Ask(self.pull())
+    }
+
+    fn finish(&mut self, staging: Staging, page: ConfigPage) -> PageOutcome {
+        let lacks_some = page.since > staging.first_to || page.to < staging.first_to;
+        if lacks_some || (page.reset && !staging.reset) {
+            self.staging = Some(staging);
+            return PageOutcome::Known;
+        }
+        let mut services = staging.services;
+        let mut removed = staging.removed;
+        for tag in &page.removed {
+            services.swap_remove(tag);
+        }
+        for it in page.services {
+            removed.retain(|tag| *tag != it.service.tag());
+            services.insert(it.service.tag(), it);
+        }
+        removed.extend(page.removed);
+        self.apply(ConfigPage {
+            since: staging.since,
+            after: None,
+            to: page.to,
+            reset: staging.reset,
+            services: services.into_values().collect(),
+            removed,
+            more: false,
+        });
+        PageOutcome::Adopted
+    }
+
+    fn apply(&mut self, page: ConfigPage) {
+        let mut removed = page.removed;
+        if page.reset {
+            let named: std::collections::BTreeSet<ServiceTag> =
+                page.services.iter().map(|it| it.service.tag()).collect();
+            let unnamed = self.versions.keys().filter(|tag| !named.contains(tag));
+            removed.extend(unnamed.copied());
+            self.removals_after = page.to;
+        }
+        self.change(page.to, page.services, &removed);
+    }
+
+    /// Puts the next version in force.
+    fn change(
+        &mut self,
+        to: ConfigVersion,
+        changed: Vec<VersionedService>,
+        removed: &[ServiceTag],
+    ) {
+        if to <= self.version() {
+            self.invariant_violations += 1;
+            return;
+        }
+        self.staging = None;
+        let mut services = self.snapshot.services.clone();
+        for tag in removed {
+            services.swap_remove(tag);
+            self.versions.remove(tag);
+            self.removals.shift_remove(tag);
+            self.removals.insert(*tag, to);
+        }
+        for it in changed {
+            let tag = it.service.tag();
+            self.versions.insert(tag, it.version.min(to));
+            self.removals.shift_remove(&tag);
+            services.insert(tag, it.service);
+        }
+        while self.removals.len() > Self::REMOVALS {
+            if let Some((_, version)) = self.removals.shift_remove_index(0) {
+                self.removals_after = self.removals_after.max(version);
+            }
+        }
+        self.snapshot = Arc::new(Snapshot {
+            version: to,
+            services,
+        });
+    }
+
+    fn check_same(&mut self, read: &Snapshot) {
+        if read.services != self.snapshot.services {
+            self.invariant_violations += 1;
+        }
+    }
+
+    fn versions_after(
+        &self,
+        after: Option<ServiceTag>,
+    ) -> impl Iterator<Item = (ServiceTag, ConfigVersion)> {
+        let from = match after {
+            Some(tag) => std::ops::Bound::Excluded(tag),
+            None => std::ops::Bound::Unbounded,
+        };
+        self.versions
+            .range((from, std::ops::Bound::Unbounded))
+            .map(|(tag, version)| (*tag, *version))
+    }
+
+    fn removed_after(&self, pull: ConfigPull) -> Vec<ServiceTag> {
+        if pull.after.is_some() {
+            return Vec::new();
+        }
+        self.removals
+            .iter()
+            .filter(|(_, version)| **version > pull.since)
+            .map(|(tag, _)| *tag)
+            .collect()
+    }
+}
+
+fn encoded_bytes(service: &Arc<Service>) -> usize {
+    postcard::to_stdvec(&**service).map_or(ConfigBook::PAGE_BYTES, |bytes| bytes.len())
+}
