--- a/arbutus-io/src/lib.rs
+++ b/arbutus-io/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod control;
 pub mod metrics;
 mod reset_key;
+pub mod store;
 pub mod telemetry;
 pub mod udp;
