--- /dev/null
+++ b/arbutus-bench/src/lib.rs
@@ -0,0 +1,4 @@
+//! Measurements of arbutusstage, each a subcommand of `arbutus-bench`.
+
+pub mod bench_error;
+pub mod policy;
--- a/arbutus-bench/src/main.rs
+++ b/arbutus-bench/src/main.rs
@@ -1,2 +1,49 @@
-//! Placeholder.
-fn main() {}
+//! Runs the measurements of arbutusstage: `arbutus-bench MEASUREMENT [OPTIONS]`.
+
+use std::process::ExitCode;
+
+use arbutus_bench::{bench_error::BenchError, policy};
+use error_stack::{Report, ResultExt};
+use lexopt::{Arg, Parser};
+
+const HELP: &str = "\
+Usage: arbutus-bench MEASUREMENT [OPTIONS]
+
+Measurements:
+  policy    how new flows are spread over backend servers
+
+Options:
+  -h, --help       print this page, or that of a measurement
+  -V, --version    print the version
+
+Exit codes: 0 done, 1 the measurement failed, 2 the command line is not understood";
+
+fn main() -> ExitCode {
+    match dispatch(&mut Parser::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            match report.current_context() {
+                BenchError::Usage => ExitCode::from(2),
+                BenchError::Failed => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn dispatch(parser: &mut Parser) -> Result<(), Report<BenchError>> {
+    match parser.next().change_context(BenchError::Usage)? {
+        None | Some(Arg::Short('h') | Arg::Long("help")) => println!("{HELP}"),
+        Some(Arg::Short('V') | Arg::Long("version")) => {
+            println!("arbutus-bench {}", env!("CARGO_PKG_VERSION"));
+        }
+        Some(Arg::Value(name)) => match name.to_str() {
+            Some("policy") => return policy::run(parser),
+            _ => return Err(Report::new(BenchError::Usage).attach("no such measurement")),
+        },
+        Some(other) => {
+            return Err(Report::new(other.unexpected()).change_context(BenchError::Usage));
+        }
+    }
+    Ok(())
+}
