feat(lab): fabric, backend server and caller stand-ins

A body is derived from service and request id, so that a foreign, mixed or truncated one is recognised without asking the system.

--- /dev/null
+++ b/arbutus-lab/src/backend/server.rs
@@ -0,0 +1,288 @@
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use futures_util::{StreamExt, stream};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore, oneshot},
+    time,
+};
+
+use super::{BackendOptions, BackendState, Behaviour, BehaviourCommand, Fate, RunRecord};
+use crate::{
+    admin::{self, Endpoint, Reply},
+    clock, content,
+    error::LabError,
+};
+
+type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// How late an answer comes that is told to be late, in milliseconds after its deadline.
+const LATE_MS: u64 = 300;
+const DEFAULT_DEADLINE_MS: u64 = 2_000;
+/// Lets the part of a short answer leave before its connection breaks.
+const SHORT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Where a started backend server can be reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendAddresses {
+    /// Where it serves.
+    pub listen: SocketAddrV4,
+    /// The admin port.
+    pub admin: SocketAddrV4,
+}
+
+/// A running backend server.
+#[derive(Debug)]
+pub struct Backend {
+    name: Arc<str>,
+    service: Arc<str>,
+    slots: Arc<Semaphore>,
+    state: Mutex<BackendState>,
+}
+
+/// Marks a request as cancelled where it is dropped before it ran.
+struct Waiting<'a> {
+    backend: &'a Backend,
+    index: usize,
+    started: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.started {
+            let mut state = self.backend.state.lock();
+            state.end(self.index, Fate::Cancelled, clock::now_micros());
+        }
+    }
+}
+
+impl Backend {
+    /// Binds both sockets and starts to serve in background tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a socket cannot be bound.
+    pub async fn start(options: &BackendOptions) -> Result<BackendAddresses, Report<LabError>> {
+        let listener = TcpListener::bind(options.listen)
+            .await
+            .change_context(LabError::Socket)?;
+        let admin = TcpListener::bind(options.admin)
+            .await
+            .change_context(LabError::Socket)?;
+        let addresses = BackendAddresses {
+            listen: local(&listener)?,
+            admin: local(&admin)?,
+        };
+        let backend = Arc::new(Self {
+            name: Arc::clone(&options.name),
+            service: Arc::clone(&options.service),
+            slots: Arc::new(Semaphore::new(options.slots)),
+            state: Mutex::new(BackendState::new(options.service_time, options.seed)),
+        });
+        tokio::spawn(Arc::clone(&backend).accept(listener));
+        tokio::spawn(admin::serve(admin, backend));
+        Ok(addresses)
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            if let Ok((stream, _)) = listener.accept().await {
+                let _ = stream.set_nodelay(true);
+                tokio::spawn(Arc::clone(&self).serve(stream));
+            }
+        }
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        let service = service_fn(|req| Arc::clone(&self).answer(req));
+        // A connection that breaks is the business of its client.
+        let _ = http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        match req.uri().path() {
+            "/health" => Ok(self.health()),
+            "/load" => Ok(self.load()),
+            _ => self.work(req).await,
+        }
+    }
+
+    async fn work(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+    ) -> Result<Response<Body>, std::io::Error> {
+        let (parts, body) = req.into_parts();
+        let arrived = clock::now_micros();
+        let key = header(&parts.headers, "idempotency-key");
+        let request = header(&parts.headers, "x-request-id").unwrap_or_default();
+        let meant_for = header(&parts.headers, "x-lab-service").unwrap_or_default();
+        let record = RunRecord::new(request, meant_for, arrived).key(key);
+        let index = self.state.lock().arrive(record);
+        let mut waiting = Waiting {
+            backend: &self,
+            index,
+            started: false,
+        };
+        body.collect().await.map_err(std::io::Error::other)?;
+
+        let behaviour = self.state.lock().behaviour(clock::now_micros());
+        if matches!(behaviour, Behaviour::Shed | Behaviour::Draining) {
+            waiting.started = true;
+            let mut state = self.state.lock();
+            state.end(index, Fate::Shed, clock::now_micros());
+            return Ok(refusal());
+        }
+        let permit = Arc::clone(&self.slots)
+            .acquire_owned()
+            .await
+            .map_err(std::io::Error::other)?;
+        waiting.started = true;
+        let done = self.run(index, permit);
+        done.await.map_err(std::io::Error::other)?;
+        if behaviour == Behaviour::Late {
+            let deadline = header(&parts.headers, "arbutus-deadline-ms");
+            let deadline_ms = deadline.and_then(|text| text.parse().ok());
+            let wait = deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS) + LATE_MS;
+            time::sleep(Duration::from_millis(wait)).await;
+        }
+        let content = content::body(&self.service, key.unwrap_or(request));
+        Ok(self.whole_or_short(content, behaviour))
+    }
+
+    /// Runs a request to its end, whether or not its connection lives on.
+    fn run(self: &Arc<Self>, index: usize, permit: OwnedSemaphorePermit) -> oneshot::Receiver<()> {
+        let (tx, rx) = oneshot::channel();
+        let backend = Arc::clone(self);
+        let service_time = {
+            let now = clock::now_micros();
+            let mut state = self.state.lock();
+            state.start(index, now);
+            state.service_time(now)
+        };
+        tokio::spawn(async move {
+            time::sleep(service_time).await;
+            let mut state = backend.state.lock();
+            state.end(index, Fate::Ran, clock::now_micros());
+            drop(state);
+            drop(permit);
+            let _ = tx.send(());
+        });
+        rx
+    }
+
+    fn whole_or_short(&self, content: String, behaviour: Behaviour) -> Response<Body> {
+        let length = content.len();
+        let mut bytes = Bytes::from(content);
+        let body = if behaviour == Behaviour::Short {
+            bytes.truncate(length / 2);
+            short(bytes)
+        } else {
+            whole(bytes)
+        };
+        Response::builder()
+            .header("content-length", length)
+            .header("content-type", "text/plain")
+            .header("x-backend-server", &*self.name)
+            .body(body)
+            .unwrap_or_default()
+    }
+
+    fn health(&self) -> Response<Body> {
+        let behaviour = self.state.lock().behaviour(clock::now_micros());
+        let (status, word) = match behaviour {
+            Behaviour::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining"),
+            Behaviour::Shed => (StatusCode::OK, "shedding"),
+            _ => (StatusCode::OK, "ready"),
+        };
+        text(status, &serde_json::json!({ "state": word }).to_string())
+    }
+
+    fn load(&self) -> Response<Body> {
+        let mut state = self.state.lock();
+        let lying = state.behaviour(clock::now_micros()) == Behaviour::Lying;
+        let in_hand = if lying { 0 } else { state.in_hand() };
+        text(
+            StatusCode::OK,
+            &serde_json::json!({ "in_hand": in_hand }).to_string(),
+        )
+    }
+}
+
+impl Endpoint for Backend {
+    fn handle(&self, method: &Method, path: &str, body: &[u8]) -> Reply {
+        match (method, path) {
+            (&Method::GET, "/lab/journal") => Reply::json(&self.state.lock().journal()),
+            (&Method::POST, "/lab/behaviour") => match serde_json::from_slice(body) {
+                Ok(command) => {
+                    let command: BehaviourCommand = command;
+                    self.state.lock().apply(command, clock::now_micros());
+                    Reply::json(&command)
+                }
+                Err(error) => Reply::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+            },
+            _ => Reply::refuse(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn refusal() -> Response<Body> {
+    let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "shed\n");
+    let headers = response.headers_mut();
+    headers.insert("arbutus-outcome", http::HeaderValue::from_static("not-run"));
+    headers.insert("retry-after", http::HeaderValue::from_static("1"));
+    response
+}
+
+fn text(status: StatusCode, content: &str) -> Response<Body> {
+    let mut response = Response::new(whole(Bytes::copy_from_slice(content.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body that breaks off after `bytes`.
+fn short(bytes: Bytes) -> Body {
+    let start = stream::iter([Ok(Frame::data(bytes))]);
+    let end = stream::once(async {
+        time::sleep(SHORT_PAUSE).await;
+        Err(std::io::Error::other("short on purpose"))
+    });
+    StreamBody::new(start.chain(end)).boxed_unsync()
+}
+
+fn local(listener: &TcpListener) -> Result<SocketAddrV4, Report<LabError>> {
+    match listener.local_addr().change_context(LabError::Socket)? {
+        SocketAddr::V4(address) => Ok(address),
+        SocketAddr::V6(_) => Err(Report::new(LabError::Socket)),
+    }
+}
--- /dev/null
+++ b/arbutus-lab/src/caller.rs
@@ -0,0 +1,18 @@
+//! Callers' load over HTTP/3, and the journal of what they were told.
+
+mod attempt_record;
+mod caller_journal;
+mod caller_options;
+mod flow;
+mod flow_record;
+mod load;
+mod request;
+mod session;
+mod tls;
+
+pub use attempt_record::{AttemptEnd, AttemptRecord, Told};
+pub use caller_journal::{CallerJournal, RequestRecord};
+pub use caller_options::CallerOptions;
+pub use flow_record::{FlowEnd, FlowRecord};
+pub use load::run;
+pub use tls::client_config;
--- /dev/null
+++ b/arbutus-lab/src/caller/load.rs
@@ -0,0 +1,59 @@
+use std::{sync::Arc, time::Duration};
+
+use error_stack::Report;
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+use super::{
+    CallerJournal, CallerOptions, request::CallerRequest, session::Session, tls::client_config,
+};
+use crate::error::LabError;
+
+/// Makes the load, waits until every request has its outcome, and returns what callers wrote down.
+///
+/// Requests come at random times that do not depend on the answers. Each caller keeps one flow for
+/// as long as it can.
+///
+/// # Errors
+///
+/// Fails where the authority's certificate or a socket cannot be used.
+pub async fn run(options: CallerOptions) -> Result<CallerJournal, Report<LabError>> {
+    let options = Arc::new(options);
+    let config = client_config(&options.ca)?;
+    let journal = Arc::new(Mutex::new(CallerJournal::default()));
+    let mut callers = JoinSet::new();
+    for number in 0..options.callers.max(1) {
+        let session = Session::new(number, &options, &config, &journal)?;
+        let seed = options.seed.wrapping_mul(1_000_003) + u64::from(number);
+        callers.spawn(drive(Arc::new(session), ChaCha8Rng::seed_from_u64(seed)));
+    }
+    callers.join_all().await;
+    let journal = std::mem::take(&mut *journal.lock());
+    Ok(journal)
+}
+
+async fn drive(session: Arc<Session>, mut rng: ChaCha8Rng) {
+    let options = &session.options;
+    let mean = Duration::from_secs(u64::from(options.callers.max(1))) / options.rate.max(1);
+    let start = Instant::now();
+    let mut due = start;
+    let mut requests = JoinSet::new();
+    for number in 0.. {
+        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        due += mean.mul_f64(-uniform.ln());
+        if due >= start + options.duration {
+            break;
+        }
+        let repeatable = rng.random_range(0..100) >= options.post_percent;
+        time::sleep_until(due).await;
+        let request = CallerRequest::new(Arc::clone(&session), number, repeatable);
+        requests.spawn(request.run());
+    }
+    requests.join_all().await;
+    session.finish().await;
+}
--- /dev/null
+++ b/arbutus-lab/src/command.rs
@@ -0,0 +1,9 @@
+//! The subcommands.
+
+mod args;
+mod backend_command;
+mod caller_command;
+mod fabric_command;
+mod main_command;
+
+pub use main_command::main;
--- /dev/null
+++ b/arbutus-lab/src/command/backend_command.rs
@@ -0,0 +1,66 @@
+use std::{process::ExitCode, sync::Arc, time::Duration};
+
+use error_stack::Report;
+
+use super::{
+    args::{Args, Flag, missing, unexpected},
+    fabric_command::forever,
+    main_command::announce,
+};
+use crate::{
+    backend::{Backend, BackendOptions, ServiceTime},
+    error::LabError,
+};
+
+const HELP: &str = "\
+A backend server over HTTP/1.1. Prints its addresses as one line of JSON, then runs until it is
+stopped. GET /health and GET /load tell its state; every other path is work.
+
+Usage: arbutus-lab backend --name NAME --service SERVICE [OPTIONS]
+
+Options:
+  --listen IP:PORT     where it serves [127.0.0.1:0]
+  --admin IP:PORT      admin port: GET /lab/journal, POST /lab/behaviour [127.0.0.1:0]
+  --slots N            requests that run at once [5]
+  --mean-ms MS         mean of the exponential service time [20]
+  --fixed-ms MS        a service time that is always the same
+  --seed K             seed of the random choices [0]
+";
+
+pub(super) async fn run(mut args: Args) -> Result<ExitCode, Report<LabError>> {
+    let mut options = BackendOptions::new("", "");
+    while let Some(flag) = args.next()? {
+        match &flag {
+            Flag::Long(name) => match name.as_str() {
+                "name" => options.name = Arc::from(args.value::<String>()?),
+                "service" => options.service = Arc::from(args.value::<String>()?),
+                "listen" => options.listen = args.value()?,
+                "admin" => options.admin = args.value()?,
+                "slots" => options.slots = args.value()?,
+                "mean-ms" => {
+                    let mean = Duration::from_millis(args.value()?);
+                    options.service_time = ServiceTime::Exponential(mean);
+                }
+                "fixed-ms" => {
+                    let time = Duration::from_millis(args.value()?);
+                    options.service_time = ServiceTime::Fixed(time);
+                }
+                "seed" => options.seed = args.value()?,
+                "help" => {
+                    print!("{HELP}");
+                    return Ok(ExitCode::SUCCESS);
+                }
+                _ => return Err(unexpected(&flag)),
+            },
+            Flag::Positional(_) => return Err(unexpected(&flag)),
+        }
+    }
+    if options.name.is_empty() {
+        return Err(missing("name"));
+    }
+    if options.service.is_empty() {
+        return Err(missing("service"));
+    }
+    announce(&Backend::start(&options).await?);
+    forever().await
+}
--- /dev/null
+++ b/arbutus-lab/src/command/caller_command.rs
@@ -0,0 +1,64 @@
+use std::{net::SocketAddrV4, path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
+
+use error_stack::Report;
+
+use super::{
+    args::{Args, Flag, missing, unexpected},
+    main_command::announce,
+};
+use crate::{
+    caller::{self, CallerOptions},
+    error::LabError,
+};
+
+const HELP: &str = "\
+Makes load over HTTP/3 and prints what callers wrote down as one line of JSON.
+
+Usage: arbutus-lab caller --target IP:PORT --service NAME --ca FILE [OPTIONS]
+
+Options:
+  --callers N       callers, each with a session of its own [4]
+  --rate R          requests each second over all callers [40]
+  --seconds S       how long new requests are made [5]
+  --post-percent P  share of requests that may not be repeated [50]
+  --deadline-ms MS  time that a request is given [5000]
+  --seed K          seed of the random choices [0]
+";
+
+pub(super) async fn run(mut args: Args) -> Result<ExitCode, Report<LabError>> {
+    let mut target: Option<SocketAddrV4> = None;
+    let mut service: Option<String> = None;
+    let mut ca: Option<PathBuf> = None;
+    let mut options = CallerOptions::new(
+        SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 0),
+        "",
+        PathBuf::new(),
+    );
+    while let Some(flag) = args.next()? {
+        match &flag {
+            Flag::Long(name) => match name.as_str() {
+                "target" => target = Some(args.value()?),
+                "service" => service = Some(args.value()?),
+                "ca" => ca = Some(PathBuf::from(args.value::<String>()?)),
+                "callers" => options.callers = args.value()?,
+                "rate" => options.rate = args.value()?,
+                "seconds" => options.duration = Duration::from_secs(args.value()?),
+                "post-percent" => options.post_percent = args.value()?,
+                "deadline-ms" => options.deadline = Duration::from_millis(args.value()?),
+                "seed" => options.seed = args.value()?,
+                "help" => {
+                    print!("{HELP}");
+                    return Ok(ExitCode::SUCCESS);
+                }
+                _ => return Err(unexpected(&flag)),
+            },
+            Flag::Positional(_) => return Err(unexpected(&flag)),
+        }
+    }
+    options.target = target.ok_or_else(|| missing("target"))?;
+    options.service = Arc::from(service.ok_or_else(|| missing("service"))?);
+    options.label = Arc::clone(&options.service);
+    options.ca = ca.ok_or_else(|| missing("ca"))?;
+    announce(&caller::run(options).await?);
+    Ok(ExitCode::SUCCESS)
+}
