feat(settings): the operator's folder, the key set and its rotation

Files are merged in the order of their names as values with places, then checked as one; a difference between two files is told with both places unless the later one overrides. The base of the folder is kept beside it, so that a race is told. A rotation has three steps, each rolled out before the next.

--- a/arbutus-settings/src/document/source.rs
+++ b/arbutus-settings/src/document/source.rs
@@ -54,6 +54,12 @@
     pub const fn root(&self) -> &Node {
         &self.root
     }
+
+    /// The outermost value, taken out.
+    #[must_use]
+    pub fn into_root(self) -> Node {
+        self.root
+    }
 }
 
 const fn strict() -> ParseOptions {
--- a/arbutus-settings/src/document/value.rs
+++ b/arbutus-settings/src/document/value.rs
@@ -33,6 +33,27 @@
             Self::Object(_) => "an object",
         }
     }
+
+    /// Whether both are the same value, wherever they stand.
+    #[must_use]
+    pub fn says_the_same_as(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::List(left), Self::List(right)) => {
+                let same =
+                    |(left, right): (&Node, &Node)| left.value.says_the_same_as(&right.value);
+                left.len() == right.len() && left.iter().zip(right).all(same)
+            }
+            (Self::Object(left), Self::Object(right)) => {
+                let find = |key: &str| right.iter().find(|entry| &*entry.key == key);
+                let same = |entry: &Entry| {
+                    find(&entry.key)
+                        .is_some_and(|it| entry.node.value.says_the_same_as(&it.node.value))
+                };
+                left.len() == right.len() && left.iter().all(same)
+            }
+            _ => self == other,
+        }
+    }
 }
 
 /// A key of an object with its value.
--- /dev/null
+++ b/arbutus-settings/src/key_set.rs
@@ -0,0 +1,36 @@
+//! A folder of secrets and certificates for a deployment, made and rotated by the operator.
+//!
+//! | file | goes to | holds |
+//! |---|---|---|
+//! | `keys.jsonc`, `system-N.key` | every balancer and agent | the system's secret keys |
+//! | `ca.pem` | every balancer, agent and caller | authorities that are accepted |
+//! | `control.pem`, `control.key.pem` | every balancer and agent | certificate among processes |
+//! | `service-NAME.pem`, `service-NAME.key.pem` | agents of the service | what callers see |
+//! | `ca.key.pem`, `ca-next.pem`, `ca-next.key.pem` | nowhere | keys of the authorities |
+//!
+//! A rotation takes three steps, each rolled out to every process before the next, so that no
+//! process ever meets a key that it does not accept: see [`RotationStep`].
+//!
+//! # Examples
+//!
+//! ```
+//! use arbutus_settings::{key_set::KeySet, keys, tls};
+//!
+//! let folder = tempfile::tempdir().unwrap();
+//! let folder = folder.path().join("keys");
+//! KeySet::create(&folder, &["lookup"], 1_800_000_000).unwrap();
+//!
+//! let authorities = tls::load_authorities(&folder.join("ca.pem")).unwrap();
+//! let ring = keys::load_set(&folder.join("keys.jsonc")).unwrap();
+//! assert_eq!((authorities.len(), ring.current_number()), (1, 0));
+//! ```
+
+mod authority;
+mod files;
+mod key_set_error;
+mod rotation_step;
+mod set;
+
+pub use key_set_error::KeySetError;
+pub use rotation_step::RotationStep;
+pub use set::{CONTROL_DNS_NAME, KeySet, service_dns_name};
--- /dev/null
+++ b/arbutus-settings/src/key_set/set.rs
@@ -0,0 +1,220 @@
+use std::{fmt::Write, path::Path};
+
+use arbutus_core::keys::{KeyRing, SystemKey};
+use error_stack::{Report, ResultExt};
+
+use super::{
+    KeySetError, RotationStep,
+    authority::{Authority, Issued},
+    files::Files,
+};
+use crate::keys;
+
+/// The DNS name in certificates of balancers and agents.
+pub const CONTROL_DNS_NAME: &str = "control.arbutus.internal";
+
+const SET: &str = "keys.jsonc";
+const CA: &str = "ca.pem";
+const CA_KEY: &str = "ca.key.pem";
+const NEXT_CA: &str = "ca-next.pem";
+const NEXT_CA_KEY: &str = "ca-next.key.pem";
+
+/// The DNS name in the certificate of the service called `service`.
+#[must_use]
+pub fn service_dns_name(service: &str) -> String {
+    format!("{service}.arbutus.internal")
+}
+
+/// A folder of secrets and certificates.
+#[derive(Debug, Clone)]
+pub struct KeySet {
+    files: Files,
+    /// For the validity of certificates, in seconds since the Unix epoch.
+    now_unix_s: u64,
+}
+
+/// The numbered system keys of a set.
+struct Numbers {
+    current: u8,
+    /// All valid numbers, the older first.
+    valid: Vec<u8>,
+}
+
+impl KeySet {
+    /// Makes a new set in `folder` with a certificate for each of `services`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the folder holds a set already, or a file or certificate cannot be made.
+    pub fn create(
+        folder: &Path,
+        services: &[&str],
+        now_unix_s: u64,
+    ) -> Result<Self, Report<KeySetError>> {
+        let set = Self::open(folder, now_unix_s);
+        if set.files.has(SET) || set.files.has(CA_KEY) {
+            return Err(Report::new(KeySetError::Exists));
+        }
+        set.files.create_folder()?;
+        let authority = Authority::create(now_unix_s)?;
+        set.files.write_public(CA, &authority.certificate)?;
+        set.files.write_secret(CA_KEY, &authority.key)?;
+        set.issue_control(&authority.key)?;
+        for service in services {
+            set.add_service(service)?;
+        }
+        set.write_system_key(0)?;
+        set.write_numbers(&Numbers {
+            current: 0,
+            valid: vec![0],
+        })?;
+        Ok(set)
+    }
+
+    /// Takes up the set in `folder`.
+    #[must_use]
+    pub fn open(folder: &Path, now_unix_s: u64) -> Self {
+        Self {
+            files: Files::new(folder),
+            now_unix_s,
+        }
+    }
+
+    /// Issues a certificate for a service.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the name is not fit for one or a file cannot be read or written.
+    pub fn add_service(&self, service: &str) -> Result<(), Report<KeySetError>> {
+        self.issue_service(service, &self.files.read(CA_KEY)?)
+    }
+
+    /// Takes one step of a rotation.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the step is not the next one, or a file cannot be read or written.
+    pub fn rotate(&self, step: RotationStep) -> Result<(), Report<KeySetError>> {
+        match step {
+            RotationStep::Add => self.rotate_add(),
+            RotationStep::Use => self.rotate_use(),
+            RotationStep::Drop => self.rotate_drop(),
+        }
+    }
+
+    fn rotate_add(&self) -> Result<(), Report<KeySetError>> {
+        let mut numbers = self.numbers()?;
+        ensure(numbers.valid.len() == 1)?;
+        let next = following(numbers.current);
+        let authority = Authority::create(self.now_unix_s)?;
+        self.files.write_secret(NEXT_CA_KEY, &authority.key)?;
+        self.files.write_public(NEXT_CA, &authority.certificate)?;
+        let both = format!("{}{}", self.files.read(CA)?, authority.certificate);
+        self.files.write_public(CA, &both)?;
+        self.write_system_key(next)?;
+        numbers.valid.push(next);
+        self.write_numbers(&numbers)
+    }
+
+    fn rotate_use(&self) -> Result<(), Report<KeySetError>> {
+        let mut numbers = self.numbers()?;
+        ensure(numbers.valid.len() == 2 && numbers.valid[0] == numbers.current)?;
+        let authority = self.files.read(NEXT_CA_KEY)?;
+        self.issue_control(&authority)?;
+        for service in self.files.services()? {
+            self.issue_service(&service, &authority)?;
+        }
+        numbers.current = numbers.valid[1];
+        self.write_numbers(&numbers)
+    }
+
+    fn rotate_drop(&self) -> Result<(), Report<KeySetError>> {
+        let mut numbers = self.numbers()?;
+        ensure(numbers.valid.len() == 2 && numbers.valid[1] == numbers.current)?;
+        // The numbers go last but one, so that a step cut short can be taken again.
+        for (next, present) in [(NEXT_CA, CA), (NEXT_CA_KEY, CA_KEY)] {
+            if self.files.has(next) {
+                self.files.rename(next, present)?;
+            }
+        }
+        let old = numbers.valid.remove(0);
+        self.write_numbers(&numbers)?;
+        self.files.remove(&system_key_name(old))
+    }
+
+    fn issue_control(&self, authority: &str) -> Result<(), Report<KeySetError>> {
+        let issued = Authority::open(authority)?.issue(CONTROL_DNS_NAME, self.now_unix_s)?;
+        self.write_issued("control", &issued)
+    }
+
+    fn issue_service(&self, service: &str, authority: &str) -> Result<(), Report<KeySetError>> {
+        if !crate::scalar::is_name(service) {
+            return Err(Report::new(KeySetError::ServiceName).attach(service.to_owned()));
+        }
+        let dns_name = service_dns_name(service);
+        let issued = Authority::open(authority)?.issue(&dns_name, self.now_unix_s)?;
+        self.write_issued(&format!("service-{service}"), &issued)
+    }
+
+    fn write_issued(&self, name: &str, issued: &Issued) -> Result<(), Report<KeySetError>> {
+        let (certificate, key) = (format!("{name}.pem"), format!("{name}.key.pem"));
+        self.files.write_public(&certificate, &issued.certificate)?;
+        self.files.write_secret(&key, &issued.key)
+    }
+
+    fn write_system_key(&self, number: u8) -> Result<(), Report<KeySetError>> {
+        let mut secret = [0; SystemKey::SECRET_BYTES];
+        rustls::crypto::ring::default_provider()
+            .secure_random
+            .fill(&mut secret)
+            .map_err(|_| Report::new(KeySetError::Certificate).attach("no random bytes"))?;
+        let mut text = String::new();
+        for byte in secret {
+            let _ = write!(text, "{byte:02x}");
+        }
+        text.push('\n');
+        self.files.write_secret(&system_key_name(number), &text)
+    }
+
+    fn write_numbers(&self, numbers: &Numbers) -> Result<(), Report<KeySetError>> {
+        let file = |number: &u8| {
+            let path = system_key_name(*number);
+            format!("    {{ \"number\": {number}, \"path\": \"{path}\" }}")
+        };
+        let files: Vec<_> = numbers.valid.iter().map(file).collect();
+        let text = format!(
+            "// Written by `arbutusctl keys`; a daemon's settings name this file under `keys`.\n\
+             {{\n  \"current\": {},\n  \"files\": [\n{}\n  ]\n}}\n",
+            numbers.current,
+            files.join(",\n")
+        );
+        self.files.write_public(SET, &text)
+    }
+
+    fn numbers(&self) -> Result<Numbers, Report<KeySetError>> {
+        let text = self.files.read(SET)?;
+        let (current, valid) = keys::numbers(SET, &text).change_context(KeySetError::Malformed)?;
+        Ok(Numbers { current, valid })
+    }
+}
+
+/// The key number after `number`, which begins again at 0 past the last slot.
+fn following(number: u8) -> u8 {
+    let next = number + 1;
+    if usize::from(next) < KeyRing::SLOTS {
+        next
+    } else {
+        0
+    }
+}
+
+fn system_key_name(number: u8) -> String {
+    format!("system-{number}.key")
+}
+
+fn ensure(in_order: bool) -> Result<(), Report<KeySetError>> {
+    if in_order {
+        return Ok(());
+    }
+    Err(Report::new(KeySetError::OutOfOrder))
+}
--- a/arbutus-settings/src/keys.rs
+++ b/arbutus-settings/src/keys.rs
@@ -2,5 +2,5 @@
 
 mod load;
 
-pub(crate) use load::read_ring;
-pub use load::{load, parse_secret};
+pub use load::{load, load_set, parse_secret};
+pub(crate) use load::{numbers, read_ring};
--- a/arbutus-settings/src/keys/load.rs
+++ b/arbutus-settings/src/keys/load.rs
@@ -1,11 +1,12 @@
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use arbutus_core::keys::{KeyRing, SystemKey};
 use error_stack::Report;
 
 use crate::{
     SettingsError,
-    document::Node,
+    document::{Document, Node, Value},
+    file,
     findings::{Findings, Place},
     scalar, secret,
 };
@@ -48,33 +49,92 @@
     Some(secret)
 }
 
-/// Reads the `keys` object of a daemon's settings.
+/// Loads the ring that the file `keys.jsonc` of a set describes.
+///
+/// # Errors
+///
+/// Fails where the file cannot be read, or with all findings attached.
+pub fn load_set(path: &Path) -> Result<KeyRing, Report<SettingsError>> {
+    file::load(path, read_set)
+}
+
+/// Reads the `keys` of a daemon's settings: an object, or the path of a file that holds one.
 pub(crate) fn read_ring(
     folder: &Path,
 ) -> impl FnOnce(&str, &Node, &mut Findings) -> Option<KeyRing> {
-    move |_key, node, findings| {
+    move |key, node, findings| {
+        if !matches!(node.value, Value::Text(_)) {
+            return read_set(folder, node, findings);
+        }
+        let path = scalar::file(folder)(key, node, findings)?;
+        let text = secret::read(&path, &node.place, findings)?;
+        let text = String::from_utf8_lossy(&text);
+        let document = Document::parse(&path.display().to_string(), &text, findings)?;
+        let folder = path.parent().unwrap_or(Path::new(""));
+        read_set(folder, document.root(), findings)
+    }
+}
+
+fn read_set(folder: &Path, node: &Node, findings: &mut Findings) -> Option<KeyRing> {
+    let set = KeyFiles::read(folder, node, findings)?;
+    let load = |file: &KeyFile| {
+        let key = load_key(&file.path, &file.place, findings)?;
+        Some((file.number, key))
+    };
+    let keys = set.files.iter().map(load).collect();
+    ring(keys, set.current, &node.place, findings)
+}
+
+/// The numbers in a file like `keys.jsonc`: the current one and all valid ones.
+pub(crate) fn numbers(file: &str, text: &str) -> Result<(u8, Vec<u8>), Report<SettingsError>> {
+    let mut findings = Findings::new();
+    let document = Document::parse(file, text, &mut findings);
+    let set = document.and_then(|it| KeyFiles::read(Path::new(""), it.root(), &mut findings));
+    let set = findings.into_result(set)?;
+    let valid = set.files.iter().map(|file| file.number).collect();
+    Ok((set.current, valid))
+}
+
+/// The object that names the system's key files.
+struct KeyFiles {
+    current: u8,
+    files: Vec<KeyFile>,
+}
+
+struct KeyFile {
+    number: u8,
+    path: PathBuf,
+    place: Place,
+}
+
+impl KeyFiles {
+    fn read(folder: &Path, node: &Node, findings: &mut Findings) -> Option<Self> {
         let mut reader = node.reader(findings)?;
         let current = reader.required("current", key_number);
-        let keys = reader.required("files", |key, node, findings| {
-            let nodes = scalar::list(|_key, node, _findings| Some(node.clone()));
-            let nodes = nodes(key, node, findings)?;
-            let read = |node: &Node| read_key(folder, node, findings);
-            Some(nodes.iter().map(read).collect::<Vec<_>>())
-        });
+        let file =
+            |_: &str, node: &Node, findings: &mut Findings| KeyFile::read(folder, node, findings);
+        let files = reader.required("files", scalar::list(file));
         reader.finish();
-        ring(keys?, current?, &node.place, findings)
+        Some(Self {
+            current: current?,
+            files: files?,
+        })
     }
 }
 
-fn read_key(folder: &Path, node: &Node, findings: &mut Findings) -> Option<(u8, SystemKey)> {
-    let mut reader = node.reader(findings)?;
-    let number = reader.required("number", key_number);
-    let key = reader.required("path", |key, node, findings| {
-        let path = scalar::file(folder)(key, node, findings)?;
-        load_key(&path, &node.place, findings)
-    });
-    reader.finish();
-    Some((number?, key?))
+impl KeyFile {
+    fn read(folder: &Path, node: &Node, findings: &mut Findings) -> Option<Self> {
+        let mut reader = node.reader(findings)?;
+        let number = reader.required("number", key_number);
+        let path = reader.required("path", scalar::file(folder));
+        let place = reader.node("path").map(|node| node.place.clone());
+        reader.finish();
+        Some(Self {
+            number: number?,
+            path: path?,
+            place: place?,
+        })
+    }
 }
 
 fn key_number(key: &str, node: &Node, findings: &mut Findings) -> Option<u8> {
--- /dev/null
+++ b/arbutus-settings/src/operator.rs
@@ -0,0 +1,17 @@
+//! The operator's folder: small files that are merged in the order of their names.
+//!
+//! Every file is an object with the key `services` and, optionally, `override`. Later files add to
+//! earlier ones. Two files that set one value differently are a finding with both places, unless
+//! the later one says `"override": true`: then its values replace the earlier ones.
+//!
+//! Names that begin with a dot are left alone, and so are folders and `.md` files.
+
+mod base_file;
+mod drain_file;
+mod folder;
+mod merge;
+mod service;
+
+pub use base_file::{BaseFile, BaseFileError};
+pub use drain_file::DrainFile;
+pub use folder::OperatorFolder;
--- /dev/null
+++ b/arbutus-settings/src/operator/base_file.rs
@@ -0,0 +1,116 @@
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use arbutus_core::{
+    apply::{Base, ChangeId, Services, Stored},
+    config::{ConfigVersion, Service},
+};
+use error_stack::{Report, ResultExt};
+use serde::{Deserialize, Serialize};
+
+/// What the operator's folder was last based on, kept beside the files.
+///
+/// It lets `apply` tell a race, and lets a change whose answer was lost be found again.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct BaseFile {
+    /// The version.
+    pub version: ConfigVersion,
+    /// The change that made it.
+    pub change: Option<ChangeId>,
+    /// Its services.
+    pub services: Vec<Arc<Service>>,
+    /// A change that was begun and whose end is not known yet.
+    pub pending: Option<ChangeId>,
+}
+
+/// Why the file was not read or written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BaseFileError {
+    /// It could not be read or written.
+    File,
+    /// It holds something else than it should.
+    Malformed,
+}
+
+impl BaseFile {
+    /// The file's name within the folder.
+    pub const NAME: &'static str = ".arbutus-base";
+
+    /// Reads the file in `folder`; a folder without one is based on nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the file is there and cannot be read.
+    pub fn load(folder: &Path) -> Result<Self, Report<BaseFileError>> {
+        let path = folder.join(Self::NAME);
+        let text = match fs::read(&path) {
+            Ok(text) => text,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Self::default()),
+            Err(error) => return Err(file_error(error, &path)),
+        };
+        serde_json::from_slice(&text)
+            .change_context(BaseFileError::Malformed)
+            .attach_with(|| path.display().to_string())
+    }
+
+    /// Writes the file in `folder`, whole or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it cannot be written.
+    pub fn store(&self, folder: &Path) -> Result<(), Report<BaseFileError>> {
+        let path = folder.join(Self::NAME);
+        let partial = partial_path(folder);
+        let text = serde_json::to_vec(self).change_context(BaseFileError::Malformed)?;
+        fs::write(&partial, text).map_err(|error| file_error(error, &partial))?;
+        fs::rename(&partial, &path).map_err(|error| file_error(error, &path))
+    }
+
+    /// The base that the store now holds.
+    #[must_use]
+    pub fn of(stored: &Stored) -> Self {
+        Self {
+            version: stored.version(),
+            change: stored.index.as_ref().map(|index| index.change.id),
+            services: stored.plain_services().into_values().collect(),
+            pending: None,
+        }
+    }
+
+    /// The base as the decisions see it.
+    #[must_use]
+    pub fn base(&self) -> Base {
+        let tagged = self.services.iter().map(|it| (it.tag(), it.clone()));
+        Base {
+            version: self.version,
+            change: self.change,
+            services: tagged.collect::<Services>(),
+            floor: self.version,
+        }
+    }
+}
+
+/// A name that another window of the operator does not use at the same time.
+fn partial_path(folder: &Path) -> PathBuf {
+    folder.join(format!("{}.{}", BaseFile::NAME, std::process::id()))
+}
+
+fn file_error(error: io::Error, path: &Path) -> Report<BaseFileError> {
+    Report::new(error)
+        .change_context(BaseFileError::File)
+        .attach(path.display().to_string())
+}
+
+impl std::fmt::Display for BaseFileError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::File => "the base file could not be read or written",
+            Self::Malformed => "the base file holds something else than it should",
+        })
+    }
+}
+
+impl std::error::Error for BaseFileError {}
--- /dev/null
+++ b/arbutus-settings/src/operator/folder.rs
@@ -0,0 +1,93 @@
+use std::path::{Path, PathBuf};
+
+use arbutus_core::apply::Services;
+use error_stack::{Report, ResultExt};
+
+use super::{merge::merge, service::read_services};
+use crate::{
+    SettingsError,
+    document::Document,
+    findings::{Findings, Place},
+};
+
+/// The services that the operator's files describe.
+#[derive(Debug, Clone)]
+pub struct OperatorFolder {
+    /// The files that were read, in the order in which they were merged.
+    pub files: Vec<PathBuf>,
+    /// The services by their tags.
+    pub services: Services,
+}
+
+impl OperatorFolder {
+    /// Reads, merges and checks the files in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the folder cannot be read, or with all findings of all files attached.
+    pub fn load(folder: &Path) -> Result<Self, Report<SettingsError>> {
+        let mut findings = Findings::new();
+        let files = list(folder, &mut findings)?;
+        let parsed: Vec<_> = files
+            .iter()
+            .map(|path| parse(path, &mut findings))
+            .collect();
+        if files.is_empty() {
+            let place = Place::whole(folder.display().to_string().into());
+            findings.add(&place, "the folder holds no .jsonc or .json file");
+        }
+        let documents = parsed.into_iter().flatten().collect();
+        let merged = merge(documents, &mut findings);
+        let services = merged.and_then(|root| read_services(&root, &mut findings));
+        let services = findings.into_result(services)?;
+        Ok(Self { files, services })
+    }
+}
+
+/// The folder's files in the order of their names.
+fn list(folder: &Path, findings: &mut Findings) -> Result<Vec<PathBuf>, Report<SettingsError>> {
+    let unreadable = || folder.display().to_string();
+    let entries = std::fs::read_dir(folder)
+        .change_context(SettingsError::Unreadable)
+        .attach_with(unreadable)?;
+    let mut files = Vec::new();
+    for entry in entries {
+        let path = entry
+            .change_context(SettingsError::Unreadable)
+            .attach_with(unreadable)?
+            .path();
+        let hidden = path.file_name().is_some_and(is_hidden);
+        if hidden || path.is_dir() {
+            continue;
+        }
+        match path.extension().and_then(|it| it.to_str()) {
+            Some("jsonc" | "json") => files.push(path),
+            Some("md") => {}
+            _ => {
+                let place = Place::whole(path.display().to_string().into());
+                findings.add(
+                    &place,
+                    "the name ends in neither .jsonc nor .json, so the file would be left out; \
+                     rename it, or begin its name with a dot",
+                );
+            }
+        }
+    }
+    files.sort_unstable();
+    Ok(files)
+}
+
+fn is_hidden(name: &std::ffi::OsStr) -> bool {
+    name.as_encoded_bytes().starts_with(b".")
+}
+
+fn parse(path: &Path, findings: &mut Findings) -> Option<Document> {
+    let name = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Document::parse(&name, &text, findings),
+        Err(error) => {
+            findings.add(&Place::whole(name.into()), error.to_string());
+            None
+        }
+    }
+}
--- a/arbutus-settings/src/scalar.rs
+++ b/arbutus-settings/src/scalar.rs
@@ -10,4 +10,5 @@
 pub use address::{address, address_v4};
 pub use list::list;
 pub use number::{boolean, duration_ms, integer};
+pub(crate) use text::is_name;
 pub use text::{choice, file, name, text};
