feat(ctl): check, apply, status, diff, drain, undrain, explain, watch and keys

The base of the folder is read before its files, so that a change which another window applies in between is a race and never overwritten unseen. A change whose end is unknown stays in the base file and is settled by the next run.

--- a/arbutus-settings/src/file.rs
+++ b/arbutus-settings/src/file.rs
@@ -11,7 +11,11 @@
 };
 
 /// Loads the file at `path`; `read` gets the folder from which relative paths are taken.
-pub(crate) fn load<T>(
+///
+/// # Errors
+///
+/// Fails where the file cannot be read, or with all findings attached.
+pub fn load<T>(
     path: &Path,
     read: impl FnOnce(&Path, &Node, &mut Findings) -> Option<T>,
 ) -> Result<T, Report<SettingsError>> {
--- a/arbutus-settings/src/lib.rs
+++ b/arbutus-settings/src/lib.rs
@@ -36,4 +36,5 @@
 pub mod store;
 pub mod tls;
 
+pub use file::load;
 pub use settings_error::SettingsError;
--- a/arbutus-settings/src/operator.rs
+++ b/arbutus-settings/src/operator.rs
@@ -12,6 +12,6 @@
 mod merge;
 mod service;
 
-pub use base_file::{BaseFile, BaseFileError};
+pub use base_file::{BaseFile, BaseFileError, PendingChange};
 pub use drain_file::DrainFile;
 pub use folder::OperatorFolder;
--- a/arbutus-settings/src/operator/base_file.rs
+++ b/arbutus-settings/src/operator/base_file.rs
@@ -5,7 +5,7 @@
 };
 
 use arbutus_core::{
-    apply::{Base, ChangeId, Services, Stored},
+    apply::{Base, ChangeId, Index, Services, Stored},
     config::{ConfigVersion, Service},
 };
 use error_stack::{Report, ResultExt};
@@ -23,7 +23,16 @@
     /// Its services.
     pub services: Vec<Arc<Service>>,
     /// A change that was begun and whose end is not known yet.
-    pub pending: Option<ChangeId>,
+    pub pending: Option<PendingChange>,
+}
+
+/// A change that was begun.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PendingChange {
+    /// Its ID.
+    pub id: ChangeId,
+    /// The services it sets.
+    pub services: Vec<Arc<Service>>,
 }
 
 /// Why the file was not read or written.
@@ -80,6 +89,24 @@
         }
     }
 
+    /// Moves on to the pending change if the store took it after all.
+    #[must_use]
+    pub fn settle(mut self, stored: &Stored) -> Self {
+        let Some(pending) = self.pending.take() else {
+            return self;
+        };
+        let mut changes = stored.index.iter().flat_map(Index::changes);
+        match changes.find(|change| change.id == pending.id) {
+            None => self,
+            Some(change) => Self {
+                version: change.version,
+                change: Some(change.id),
+                services: pending.services,
+                pending: None,
+            },
+        }
+    }
+
     /// The base as the decisions see it.
     #[must_use]
     pub fn base(&self) -> Base {
--- /dev/null
+++ b/arbutusctl/src/command/check.rs
@@ -0,0 +1,28 @@
+use error_stack::Report;
+use serde_json::json;
+
+use crate::{CtlError, ExitStatus, folder, options::Options};
+
+/// Checks the files of the folder.
+pub(super) fn run(options: &Options) -> Result<ExitStatus, Report<CtlError>> {
+    let loaded = folder::load(&options.folder)?;
+    let names: Vec<_> = loaded.services.values().map(|it| it.name.clone()).collect();
+    if options.json {
+        let files: Vec<_> = loaded
+            .files
+            .iter()
+            .map(|it| it.display().to_string())
+            .collect();
+        println!(
+            "{}",
+            json!({ "files": files, "services": names, "findings": [] })
+        );
+    } else {
+        println!(
+            "{} files, {} services, no findings",
+            loaded.files.len(),
+            names.len()
+        );
+    }
+    Ok(ExitStatus::Done)
+}
--- /dev/null
+++ b/arbutusctl/src/command/diff.rs
@@ -0,0 +1,43 @@
+use arbutus_core::apply::{self, Difference};
+use arbutus_io::store::ConfigReader;
+use error_stack::{Report, ResultExt};
+use serde_json::json;
+
+use crate::{CtlError, ExitStatus, connection::Connection, folder, options::Options};
+
+/// Shows how the files differ from what is in force.
+pub(super) async fn run(options: &Options) -> Result<ExitStatus, Report<CtlError>> {
+    let connection = Connection::new(options)?;
+    let loaded = folder::load(&options.folder)?;
+    let mut reader = ConfigReader::new(connection.store()?);
+    let stored = reader.read().await.change_context(CtlError::Store)?;
+    let differences = apply::differences(&stored.plain_services(), &loaded.services);
+    if options.json {
+        let lines = lines(&differences);
+        let version = stored.version().get();
+        println!("{}", json!({ "version": version, "differences": lines }));
+    } else {
+        println!("against version {}:", stored.version());
+        print_all(&differences);
+    }
+    Ok(if differences.is_empty() {
+        ExitStatus::Done
+    } else {
+        ExitStatus::Differs
+    })
+}
+
+/// The differences as lines of text.
+pub(super) fn lines(differences: &[Difference]) -> Vec<String> {
+    differences.iter().map(ToString::to_string).collect()
+}
+
+/// Prints the differences, each on a line of its own.
+pub(super) fn print_all(differences: &[Difference]) {
+    for difference in differences {
+        println!("  {difference}");
+    }
+    if differences.is_empty() {
+        println!("  no differences");
+    }
+}
--- /dev/null
+++ b/arbutusctl/src/connection.rs
@@ -0,0 +1,85 @@
+//! Where the store and the nodes are, from options and from the folder.
+
+use std::{net::SocketAddr, path::Path};
+
+use arbutus_settings::{
+    SettingsError, document::Node, findings::Findings, scalar, store::StoreSettings,
+};
+use error_stack::{Report, ResultExt};
+
+use crate::{CtlError, options::Options};
+
+/// Where the store and the nodes are.
+#[derive(Debug, Clone)]
+pub(crate) struct Connection {
+    store: Option<StoreSettings>,
+    /// Admin ports of some balancers.
+    pub(crate) admin: Vec<SocketAddr>,
+}
+
+/// What `.arbutusctl.jsonc` may hold.
+#[derive(Debug, Clone, Default)]
+struct Defaults {
+    store: Option<std::sync::Arc<str>>,
+    prefix: Option<std::sync::Arc<str>>,
+    admin: Vec<SocketAddr>,
+}
+
+/// The file of defaults within the operator's folder.
+const DEFAULTS: &str = ".arbutusctl.jsonc";
+
+impl Connection {
+    /// Takes what the options say, and the rest from the folder.
+    pub(crate) fn new(options: &Options) -> Result<Self, Report<CtlError>> {
+        let defaults = Defaults::load(&options.folder).change_context(CtlError::Findings)?;
+        let url = options
+            .store
+            .clone()
+            .or(defaults.store.map(|it| it.to_string()));
+        let prefix = options
+            .prefix
+            .clone()
+            .or(defaults.prefix.map(|it| it.to_string()));
+        let store = url.map(|url| StoreSettings::new(url.trim_end_matches('/')));
+        let store = match prefix {
+            Some(prefix) => store.map(|store| store.prefix(&prefix)),
+            None => store,
+        };
+        let admin = if options.admin.is_empty() {
+            defaults.admin
+        } else {
+            options.admin.clone()
+        };
+        Ok(Self { store, admin })
+    }
+
+    /// The store, which the command needs.
+    pub(crate) fn store(&self) -> Result<&StoreSettings, Report<CtlError>> {
+        let hint = "--store is missing, and `.arbutusctl.jsonc` does not name one";
+        let store = self.store.as_ref();
+        store.ok_or_else(|| Report::new(CtlError::Usage).attach(hint))
+    }
+}
+
+impl Defaults {
+    fn load(folder: &Path) -> Result<Self, Report<SettingsError>> {
+        let path = folder.join(DEFAULTS);
+        if !path.exists() {
+            return Ok(Self::default());
+        }
+        arbutus_settings::load(&path, |_, node, findings| Self::read(node, findings))
+    }
+
+    fn read(node: &Node, findings: &mut Findings) -> Option<Self> {
+        let mut reader = node.reader(findings)?;
+        let store = reader.optional("store", scalar::text);
+        let prefix = reader.optional("prefix", scalar::text);
+        let admin = reader.or("admin", Vec::new(), scalar::list(scalar::address));
+        reader.finish();
+        Some(Self {
+            store,
+            prefix,
+            admin: admin?,
+        })
+    }
+}
--- /dev/null
+++ b/arbutusctl/src/fleet/survey.rs
@@ -0,0 +1,94 @@
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use arbutus_io::admin::views::{ConfigView, RosterView};
+use error_stack::Report;
+use futures_util::{StreamExt, stream};
+
+use super::{AdminClient, Node, NodeVersion, Role};
+use crate::CtlError;
+
+/// How many nodes are asked at once.
+const PARALLEL_ASKS: usize = 32;
+/// Pause between two rounds of asking.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+
+/// The roster of the first admin port that answers.
+pub(crate) async fn roster(
+    client: &AdminClient,
+    admin: &[SocketAddr],
+) -> Result<RosterView, Report<CtlError>> {
+    let hint = "--admin is missing, and `.arbutusctl.jsonc` does not name one";
+    let mut failure = Report::new(CtlError::Usage).attach(hint);
+    for address in admin {
+        match client.get(*address, "/roster").await {
+            Ok(roster) => return Ok(roster),
+            Err(report) => failure = report,
+        }
+    }
+    Err(failure)
+}
+
+/// The nodes of a roster, without those that have gone.
+pub(crate) fn nodes(roster: &RosterView) -> Vec<Node> {
+    let balancers = roster.balancers.iter().map(|it| Node {
+        name: it.name.clone(),
+        role: Role::Balancer,
+        admin: it.admin,
+        failure_domain: it.failure_domain.clone(),
+        state: it.state.clone(),
+    });
+    let agents = roster.agents.iter().map(|it| Node {
+        name: it.name.clone(),
+        role: Role::Agent,
+        admin: it.admin,
+        failure_domain: it.failure_domain.clone(),
+        state: it.state.clone(),
+    });
+    let present = balancers.chain(agents).filter(|it| &*it.state != "gone");
+    present.collect()
+}
+
+/// Asks each of `nodes` for the version it has in force.
+pub(crate) async fn versions(client: &AdminClient, nodes: Vec<Node>) -> Vec<NodeVersion> {
+    let ask = |node: Node| async move {
+        let view: Result<ConfigView, _> = client.get(node.admin, "/config").await;
+        let version = view.ok().map(|view| view.version);
+        NodeVersion { node, version }
+    };
+    stream::iter(nodes.into_iter().map(ask))
+        .buffered(PARALLEL_ASKS)
+        .collect()
+        .await
+}
+
+/// Waits until every node has `version` in force, or `wait` is over; `progress` is told the number
+/// of those that have it and of all.
+///
+/// A node that has it is not asked again; the roster is read anew in each round, so that a node
+/// that went is not waited for.
+pub(crate) async fn wait_for_version(
+    client: &AdminClient,
+    admin: &[SocketAddr],
+    version: u64,
+    wait: Duration,
+    mut progress: impl FnMut(usize, usize),
+) -> Result<Vec<NodeVersion>, Report<CtlError>> {
+    let clock = Instant::now();
+    let mut known: Vec<NodeVersion> = Vec::new();
+    loop {
+        let present = nodes(&roster(client, admin).await?);
+        known.retain(|it| it.has(version) && present.contains(&it.node));
+        let is_known = |node: &Node| known.iter().any(|it| it.node == *node);
+        let missing = present.into_iter().filter(|it| !is_known(it)).collect();
+        known.extend(versions(client, missing).await);
+        let in_force = known.iter().filter(|it| it.has(version)).count();
+        progress(in_force, known.len());
+        if in_force == known.len() || clock.elapsed() >= wait {
+            return Ok(known);
+        }
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+}
--- a/arbutusctl/src/main.rs
+++ b/arbutusctl/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder.
-fn main() {}
+//! Operator command line of arbutusstage.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    arbutusctl::main(std::env::args_os().skip(1))
+}
