test(core): scripted and random failures of the control machines

Scripts cover announcement, death, pause, address reuse, drain by either word, partition, a silent failure domain, a reader that dies, and joining while the store is down. Random runs end in quiet and compare all rosters and configurations.

--- /dev/null
+++ b/arbutus-core/tests/membership.rs
@@ -0,0 +1,14 @@
+//! The control machines under scripted and random failures.
+
+#[path = "membership/network.rs"]
+mod network;
+#[path = "membership/random_runs.rs"]
+mod random_runs;
+#[path = "membership/script.rs"]
+mod script;
+#[path = "membership/store.rs"]
+mod store;
+#[path = "membership/wire_bytes.rs"]
+mod wire_bytes;
+#[path = "membership/world.rs"]
+mod world;
