--- a/arbutus-core/tests/membership/script.rs
+++ b/arbutus-core/tests/membership/script.rs
@@ -73,13 +73,13 @@
     let mut services: Vec<_> = world.store.snapshot.services.values().cloned().collect();
     for it in &mut services {
         if &*it.name == service {
-            let word = BackendOverride {
+            let entry = BackendOverride {
                 state: DesiredState::Drain,
                 weight_percent: None,
             };
             std::sync::Arc::make_mut(it)
                 .backend_servers
-                .insert(agent.into(), word);
+                .insert(agent.into(), entry);
         }
     }
     let services = services.into_iter().map(std::sync::Arc::unwrap_or_clone);
