feat: the balancer and agent daemons

The daemons feed the control machines, the data path and the request decisions with sockets and time. Records name the admin port, so that an operator's tool finds every process from one.

--- a/arbutus-core/src/membership.rs
+++ b/arbutus-core/src/membership.rs
@@ -35,6 +35,7 @@
 //!     failure_domain: Arc::from("mvd-a"),
 //!     control: balancer_control,
 //!     tunnel: "10.0.0.1:7001".parse()?,
+//!     admin_port: 7004,
 //!     incarnation: Incarnation::new(1),
 //!     peers: Vec::new(),
 //! };
@@ -45,6 +46,7 @@
 //!     service: Arc::from("lookup"),
 //!     tunnel: "10.0.0.9:7001".parse()?,
 //!     control: agent_control,
+//!     admin_port: 7004,
 //!     incarnation: Incarnation::new(1),
 //!     balancers: vec![balancer_control],
 //! };
--- a/arbutus-core/src/membership/agent_identity.rs
+++ b/arbutus-core/src/membership/agent_identity.rs
@@ -18,6 +18,8 @@
     pub tunnel: SocketAddrV4,
     /// Where it takes control connections; also the source of those it opens.
     pub control: SocketAddrV4,
+    /// The port of its admin endpoint, at the IP address of `control`.
+    pub admin_port: u16,
     /// This life of the process, unless a balancer knows a higher one at its address.
     pub incarnation: Incarnation,
     /// Control addresses of some balancers.
@@ -30,6 +32,7 @@
             tunnel: self.tunnel,
             control: self.control,
             name: self.name.clone(),
+            admin_port: self.admin_port,
             failure_domain: self.failure_domain.clone(),
             tag: ServiceTag::of_name(&self.service),
             incarnation: self.incarnation,
--- a/arbutus-core/src/membership/balancer_identity.rs
+++ b/arbutus-core/src/membership/balancer_identity.rs
@@ -16,6 +16,8 @@
     pub control: SocketAddrV4,
     /// Where it takes tunnel datagrams of agents.
     pub tunnel: SocketAddrV4,
+    /// The port of its admin endpoint, at the IP address of `control`.
+    pub admin_port: u16,
     /// This life of the process.
     pub incarnation: Incarnation,
     /// Control addresses of some other balancers.
@@ -28,6 +30,7 @@
             control: self.control,
             tunnel: self.tunnel,
             name: self.name.clone(),
+            admin_port: self.admin_port,
             failure_domain: self.failure_domain.clone(),
             incarnation: self.incarnation,
             version: 1,
--- a/arbutus-core/src/roster/agent_record.rs
+++ b/arbutus-core/src/roster/agent_record.rs
@@ -16,6 +16,8 @@
     pub control: SocketAddrV4,
     /// The backend server's name, as the operator's files use it.
     pub name: Arc<str>,
+    /// The port of its admin endpoint, at the IP address of `control`.
+    pub admin_port: u16,
     /// Its failure domain.
     pub failure_domain: Arc<str>,
     /// The service whose flows it takes.
--- a/arbutus-core/src/roster/balancer_record.rs
+++ b/arbutus-core/src/roster/balancer_record.rs
@@ -16,6 +16,8 @@
     pub tunnel: SocketAddrV4,
     /// Its name in its settings.
     pub name: Arc<str>,
+    /// The port of its admin endpoint, at the IP address of `control`.
+    pub admin_port: u16,
     /// Its failure domain.
     pub failure_domain: Arc<str>,
     /// Its life at this address.
--- a/arbutus-core/src/route.rs
+++ b/arbutus-core/src/route.rs
@@ -25,6 +25,7 @@
 //! let agent = AgentRecord {
 //!     tunnel: address("10.0.0.7:4000"),
 //!     control: address("10.0.0.7:4001"),
+//!     admin_port: 4002,
 //!     name: Arc::from("lookup-1"),
 //!     failure_domain: Arc::from("mvd-a"),
 //!     tag: service.tag(),
--- a/arbutus-io/src/admin/admin_state.rs
+++ b/arbutus-io/src/admin/admin_state.rs
@@ -28,7 +28,7 @@
         }
     }
 
-    /// The metrics as OpenMetrics text.
+    /// The metrics as `OpenMetrics` text.
     #[must_use]
     pub fn metrics(&self) -> String {
         let mut text = String::new();
--- a/arbutus-io/src/agent/caller_connection.rs
+++ b/arbutus-io/src/agent/caller_connection.rs
@@ -18,6 +18,8 @@
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 /// How long the peer may take to close a connection whose requests have all ended.
 const CLOSE_GRACE: Duration = Duration::from_secs(3);
+/// How often a stopping connection is asked for late requests.
+const LATE_REQUEST_POLL: Duration = Duration::from_millis(20);
 
 type Resolver = RequestResolver<h3_quinn::Connection, Bytes>;
 
@@ -56,6 +58,9 @@
                 on_request();
                 spawn_request(resolver, origin, &services, connection.clone());
             }
+            // A request that crosses the GOAWAY has yet to be rejected, so that a stopping
+            // connection is listened to until the peer closes it.
+            Ok(None) if told && !is_closed_within(&connection, LATE_REQUEST_POLL).await => {}
             Ok(None) => break,
             Err(err) => {
                 tracing::debug!(%err, "connection_ended");
@@ -67,6 +72,12 @@
     let _ = tokio::time::timeout(CLOSE_GRACE, connection.closed()).await;
 }
 
+async fn is_closed_within(connection: &quinn::Connection, time: Duration) -> bool {
+    tokio::time::timeout(time, connection.closed())
+        .await
+        .is_ok()
+}
+
 async fn wait_for_stop(stopping: &mut watch::Receiver<bool>) {
     if stopping.wait_for(|stopping| *stopping).await.is_err() {
         std::future::pending::<()>().await;
--- a/arbutus-io/src/agent/caller_endpoint.rs
+++ b/arbutus-io/src/agent/caller_endpoint.rs
@@ -60,6 +60,11 @@
         })
     }
 
+    /// The QUIC endpoint itself.
+    pub(super) fn quic(&self) -> quinn::Endpoint {
+        self.endpoint.clone()
+    }
+
     /// Takes connections until the endpoint closes.
     pub(super) async fn run(self) {
         while let Some(incoming) = self.endpoint.accept().await {
--- a/arbutus-io/src/agent/flow_desk.rs
+++ b/arbutus-io/src/agent/flow_desk.rs
@@ -179,7 +179,7 @@
             } => {
                 let mut buf = Vec::new();
                 report.encode(&mut buf);
-                self.send(control, Envelope::LoadReport(Bytes::from(buf)));
+                self.send(control, &Envelope::LoadReport(Bytes::from(buf)));
             }
             Action::Close(flow) => {
                 let connection = self.open.lock().get(&flow).cloned();
@@ -191,7 +191,7 @@
         }
     }
 
-    fn send(&self, to: SocketAddrV4, envelope: Envelope) {
+    fn send(&self, to: SocketAddrV4, envelope: &Envelope) {
         self.control.send(to, envelope.encode());
     }
 
--- /dev/null
+++ b/arbutus-io/src/agent/views.rs
@@ -0,0 +1,31 @@
+use std::sync::Arc;
+
+use arbutus_core::{
+    config::{Service, Snapshot},
+    membership::AgentNode,
+};
+
+use crate::{
+    admin::views::{ConfigView, RosterView},
+    balancer::views::agent,
+};
+
+/// The body of an agent's `/config`.
+pub(super) fn config(name: &Arc<str>, node: &AgentNode) -> ConfigView {
+    ConfigView {
+        name: name.clone(),
+        role: Arc::from("agent"),
+        version: node.config_version().get(),
+    }
+}
+
+/// The body of an agent's `/roster`: itself and the peers it knows.
+pub(super) fn roster(node: &AgentNode) -> RosterView {
+    let service = node.service().map(|service| Service::clone(service));
+    let known = Snapshot::new(node.config_version(), service);
+    let records = std::iter::once(node.record()).chain(node.peers());
+    RosterView {
+        balancers: Vec::new(),
+        agents: records.map(|record| agent(record, &known)).collect(),
+    }
+}
--- a/arbutus-io/src/balancer.rs
+++ b/arbutus-io/src/balancer.rs
@@ -2,12 +2,17 @@
 //! what the agents answer.
 
 mod balancer_error;
+mod control_task;
+mod daemon;
 mod fabric_sources;
 mod inbound;
 mod outbound;
 mod shared;
+mod store_task;
+pub(crate) mod views;
 mod workers;
 
 pub use balancer_error::BalancerError;
+pub use daemon::run;
 pub use shared::DataPath;
 pub use workers::spawn_workers;
--- a/arbutus-io/src/lib.rs
+++ b/arbutus-io/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod metrics;
 mod reset_key;
+pub mod shutdown;
 pub mod store;
 pub mod telemetry;
 pub mod udp;
--- a/arbutus-io/src/store/reader.rs
+++ b/arbutus-io/src/store/reader.rs
@@ -5,7 +5,7 @@
     ident::ServiceTag,
 };
 use arbutus_settings::store::StoreSettings;
-use futures_util::{StreamExt, TryStreamExt, stream};
+use futures_util::future;
 use indexmap::IndexMap;
 
 use super::{Entry, Lookup, StoreClient, StoreError, WatchIndex};
@@ -102,11 +102,11 @@
         };
         let unreadable = |error: &dyn std::fmt::Display| StoreError::Unreadable(error.to_string());
         let index = Index::decode(&entry.value).map_err(|error| unreadable(&error))?;
-        let calls = index.shards.iter().map(|key| self.shard(key));
-        let found: Vec<Option<Arc<Shard>>> = stream::iter(calls)
-            .buffered(Self::PARALLEL_FETCHES)
-            .try_collect()
-            .await?;
+        let mut found: Vec<Option<Arc<Shard>>> = Vec::with_capacity(index.shards.len());
+        for keys in index.shards.chunks(Self::PARALLEL_FETCHES) {
+            let calls = future::try_join_all(keys.iter().map(|key| self.shard(key)));
+            found.extend(calls.await?);
+        }
         let shards: Option<Vec<_>> = found.into_iter().collect();
         let Some(shards) = shards else {
             return Ok(None);
