--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod content;
 pub mod error;
 pub mod fabric;
+pub mod store;
