--- a/arbutus-lab/src/caller/attempt_record.rs
+++ b/arbutus-lab/src/caller/attempt_record.rs
@@ -58,6 +58,8 @@
     pub key: Option<Arc<str>>,
     /// The flow that carried it.
     pub flow: Arc<str>,
+    /// The flow on which it got the binding that it carries.
+    pub bound_by: Option<Arc<str>>,
     /// When it was sent.
     pub start_us: u64,
     /// When its end was known; not before it was sent.
--- a/arbutus-lab/src/caller/flow.rs
+++ b/arbutus-lab/src/caller/flow.rs
@@ -26,6 +26,15 @@
     leaving: AtomicBool,
     in_progress: AtomicUsize,
     backend: Mutex<Option<Arc<str>>>,
+    binding: Mutex<Option<Binding>>,
+}
+
+/// A token that binds requests that may not be repeated to where they run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Binding {
+    pub(super) token: Arc<str>,
+    /// The flow on which it came.
+    pub(super) flow: Arc<str>,
 }
 
 /// Counts a request as in progress for as long as it lives.
@@ -51,6 +60,7 @@
             leaving: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             backend: Mutex::new(None),
+            binding: Mutex::new(None),
         });
         tokio::spawn(Arc::clone(&flow).watch(record, driver, journal));
         flow
@@ -82,6 +92,24 @@
         self.backend.lock().clone()
     }
 
+    /// The binding for new keys on this flow.
+    pub(super) fn binding(&self) -> Option<Binding> {
+        self.binding.lock().clone()
+    }
+
+    /// Keeps a new binding.
+    pub(super) fn set_binding(&self, token: &str) {
+        *self.binding.lock() = Some(Binding {
+            token: Arc::from(token),
+            flow: Arc::clone(&self.id),
+        });
+    }
+
+    /// Drops the binding, so that the next new key asks for another.
+    pub(super) fn forget_binding(&self) {
+        self.binding.lock().take();
+    }
+
     async fn watch(
         self: Arc<Self>,
         mut record: FlowRecord,
--- a/arbutus-lab/src/caller/request.rs
+++ b/arbutus-lab/src/caller/request.rs
@@ -7,6 +7,7 @@
 
 use super::{
     AttemptEnd, AttemptRecord, RequestRecord, Told,
+    flow::Binding,
     session::{Chosen, Session},
 };
 use crate::{clock, content};
@@ -27,7 +28,7 @@
     attempts: u32,
     /// The binding that the key was first sent with. While an earlier attempt may have run, the key
     /// goes with no other.
-    binding: Option<Arc<str>>,
+    binding: Option<Binding>,
     /// Whether some attempt may have run.
     may_have_run: bool,
 }
@@ -89,12 +90,13 @@
         let Ok(chosen) = self.session.choose().await else {
             return Next::Again(RECONNECT_PAUSE);
         };
+        self.bind(&chosen);
         let mut record = self.record(&chosen);
         let limit = self.deadline + ANSWER_GRACE;
         let exchanged = time::timeout_at(limit, self.exchange(&chosen, &mut record)).await;
         record.end_us = clock::now_micros();
         let next = match exchanged {
-            Ok(Ok(head)) => self.judge(&head, &mut record),
+            Ok(Ok(head)) => self.judge(&head, &chosen, &record),
             Ok(Err(error)) => self.failed(&error, &chosen, &mut record),
             Err(_) => {
                 record.end = AttemptEnd::TimedOut;
@@ -155,7 +157,7 @@
         }
     }
 
-    fn head(&mut self, attempt: &str) -> Request<()> {
+    fn head(&self, attempt: &str) -> Request<()> {
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         let options = &self.session.options;
         let mut builder = Request::builder()
@@ -167,19 +169,27 @@
             builder = builder.method("GET");
         } else {
             builder = builder.method("POST").header("idempotency-key", &*self.id);
-            if !self.may_have_run || self.binding.is_none() {
-                self.binding = self.session.binding();
-            }
             if let Some(binding) = &self.binding {
-                builder = builder.header("arbutus-binding", &**binding);
+                builder = builder.header("arbutus-binding", &*binding.token);
             }
         }
         builder.body(()).unwrap_or_default()
     }
 
-    fn judge(&mut self, head: &Response<()>, record: &mut AttemptRecord) -> Next {
-        if let Some(binding) = header(head.headers(), "arbutus-binding") {
-            self.session.set_binding(binding);
+    /// Takes the flow's binding, unless the key may have run under another.
+    fn bind(&mut self, chosen: &Chosen) {
+        let tied = self.may_have_run && self.binding.is_some();
+        if !self.repeatable && !tied {
+            self.binding = chosen.flow.binding();
+        }
+    }
+
+    fn judge(&mut self, head: &Response<()>, chosen: &Chosen, record: &AttemptRecord) -> Next {
+        if let Some(token) = header(head.headers(), "arbutus-binding") {
+            chosen.flow.set_binding(token);
+        }
+        if record.told == Some(Told::Unknown) {
+            chosen.flow.forget_binding();
         }
         let answered = matches!(record.end, AttemptEnd::Right | AttemptEnd::Wrong);
         if answered || record.told == Some(Told::Ran) {
@@ -230,6 +240,7 @@
             service: Arc::clone(&self.session.options.service),
             key,
             flow: Arc::clone(&chosen.flow.id),
+            bound_by: self.binding.as_ref().map(|it| Arc::clone(&it.flow)),
             start_us: now,
             end_us: now,
             status: None,
--- a/arbutus-lab/src/caller/session.rs
+++ b/arbutus-lab/src/caller/session.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use parking_lot::Mutex;
 use tokio::time;
 
 use super::{
@@ -23,7 +22,7 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// One caller: its socket, its present flow and its binding.
+/// One caller: its socket and its present flow.
 pub(super) struct Session {
     pub(super) name: Arc<str>,
     pub(super) options: Arc<CallerOptions>,
@@ -32,7 +31,6 @@
     server_name: String,
     present: tokio::sync::Mutex<Option<Arc<Flow>>>,
     opened: AtomicU32,
-    binding: Mutex<Option<Arc<str>>>,
 }
 
 /// A flow chosen for one request.
@@ -61,7 +59,6 @@
             server_name: format!("{}.arbutus.internal", options.service),
             present: tokio::sync::Mutex::new(None),
             opened: AtomicU32::new(0),
-            binding: Mutex::new(None),
         })
     }
 
@@ -91,16 +88,6 @@
         })
     }
 
-    /// The token that binds requests that may not be repeated to where they run.
-    pub(super) fn binding(&self) -> Option<Arc<str>> {
-        self.binding.lock().clone()
-    }
-
-    /// Keeps a new binding.
-    pub(super) fn set_binding(&self, binding: &str) {
-        *self.binding.lock() = Some(Arc::from(binding));
-    }
-
     /// Ends the present flow as a caller does that has no more to ask.
     pub(super) async fn finish(&self) {
         if let Some(flow) = self.present.lock().await.take() {
--- /dev/null
+++ b/arbutus-lab/src/events/parse.rs
@@ -0,0 +1,188 @@
+use std::{fmt, str::SplitAsciiWhitespace, sync::Arc, time::Duration};
+
+use super::{Action, Node, Role, StoreBehaviour, parse_span};
+use crate::{backend::Behaviour, fabric::LinkFaults};
+
+/// Why a text is not an event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EventError {
+    /// The text ends where this was expected.
+    Missing(&'static str),
+    /// A word is not what was expected.
+    Unexpected {
+        /// The word.
+        word: String,
+        /// What was expected in its place.
+        expected: &'static str,
+    },
+    /// The text goes on where it should end.
+    TooMuch(String),
+}
+
+impl fmt::Display for EventError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing(expected) => write!(f, "the event lacks {expected}"),
+            Self::Unexpected { word, expected } => {
+                write!(f, "expected {expected}, found `{word}`")
+            }
+            Self::TooMuch(word) => write!(f, "unexpected `{word}` at the end of the event"),
+        }
+    }
+}
+
+impl std::error::Error for EventError {}
+
+const ACTION: &str = "one of kill, stop, start, pause, drain, undrain, replace, cut, store, fabric, \
+                      backend";
+const NODE: &str = "a node like balancer-1 or agent-2";
+const AGENT: &str = "an agent like agent-2";
+const BACKEND: &str = "a backend server like backend-2";
+const BEHAVIOUR: &str = "one of slow, cold, shed, late, short, crossed, lying, draining";
+const STORE: &str = "one of down, slow, lose-answers";
+const LINKS: &str = "one of loss, delay, reorder, duplicate, for";
+const SPAN: &str = "a span of time like 2s or 250ms";
+const RANGE: &str = "a range of time like 5ms..20ms";
+const PERCENT: &str = "a share like 2%";
+const DOMAIN: &str = "a failure domain";
+const FOR: &str = "`for`";
+
+type Words<'a> = SplitAsciiWhitespace<'a>;
+
+pub(super) fn span(words: &mut Words<'_>) -> Result<Duration, EventError> {
+    read(words, SPAN, parse_span)
+}
+
+pub(super) fn action(words: &mut Words<'_>) -> Result<Action, EventError> {
+    let word = words.next().ok_or(EventError::Missing(ACTION))?;
+    match word {
+        "kill" => Ok(Action::Kill(any_node(words)?)),
+        "stop" => Ok(Action::Stop(any_node(words)?)),
+        "start" => Ok(Action::Start(any_node(words)?)),
+        "pause" => Ok(Action::Pause(any_node(words)?, for_span(words)?)),
+        "drain" => Ok(Action::Drain(agent(words)?)),
+        "undrain" => Ok(Action::Undrain(agent(words)?)),
+        "replace" => Ok(Action::Replace(agent(words)?)),
+        "cut" => Ok(Action::Cut(domain(words)?, for_span(words)?)),
+        "store" => Ok(Action::Store(store(words)?, for_span(words)?)),
+        "fabric" => links(words),
+        "backend" => Ok(Action::Backend(
+            backend(words)?,
+            behaviour(words)?,
+            for_span(words)?,
+        )),
+        _ => Err(unexpected(word, ACTION)),
+    }
+}
+
+fn links(words: &mut Words<'_>) -> Result<Action, EventError> {
+    let mut faults = LinkFaults::none();
+    loop {
+        let word = words.next().ok_or(EventError::Missing(LINKS))?;
+        faults = match word {
+            "loss" => faults.loss_percent(percent(words)?),
+            "reorder" => faults.reorder_percent(percent(words)?),
+            "duplicate" => faults.duplicate_percent(percent(words)?),
+            "delay" => {
+                let (from, to) = read(words, RANGE, range)?;
+                faults.delay_us(micros(from), micros(to))
+            }
+            "for" => return Ok(Action::Links(faults, span(words)?)),
+            _ => return Err(unexpected(word, LINKS)),
+        };
+    }
+}
+
+fn for_span(words: &mut Words<'_>) -> Result<Duration, EventError> {
+    read(words, FOR, |word| (word == "for").then_some(()))?;
+    span(words)
+}
+
+fn any_node(words: &mut Words<'_>) -> Result<Node, EventError> {
+    read(words, NODE, |word| {
+        numbered(word, "balancer-")
+            .map(Node::balancer)
+            .or_else(|| numbered(word, "agent-").map(Node::agent))
+    })
+}
+
+fn agent(words: &mut Words<'_>) -> Result<Node, EventError> {
+    read(words, AGENT, |word| {
+        numbered(word, "agent-").map(Node::agent)
+    })
+}
+
+fn backend(words: &mut Words<'_>) -> Result<Node, EventError> {
+    read(words, BACKEND, |word| {
+        numbered(word, "backend-").map(|number| Node {
+            role: Role::Agent,
+            number,
+        })
+    })
+}
+
+fn behaviour(words: &mut Words<'_>) -> Result<Behaviour, EventError> {
+    read(words, BEHAVIOUR, |word| match word {
+        "slow" => Some(Behaviour::Slow),
+        "cold" => Some(Behaviour::Cold),
+        "shed" => Some(Behaviour::Shed),
+        "late" => Some(Behaviour::Late),
+        "short" => Some(Behaviour::Short),
+        "crossed" => Some(Behaviour::Crossed),
+        "lying" => Some(Behaviour::Lying),
+        "draining" => Some(Behaviour::Draining),
+        _ => None,
+    })
+}
+
+fn store(words: &mut Words<'_>) -> Result<StoreBehaviour, EventError> {
+    let word = words.next().ok_or(EventError::Missing(STORE))?;
+    match word {
+        "down" => Ok(StoreBehaviour::Down),
+        "slow" => Ok(StoreBehaviour::Slow(span(words)?)),
+        "lose-answers" => Ok(StoreBehaviour::LoseAnswers),
+        _ => Err(unexpected(word, STORE)),
+    }
+}
+
+fn domain(words: &mut Words<'_>) -> Result<Arc<str>, EventError> {
+    read(words, DOMAIN, |word| Some(Arc::from(word)))
+}
+
+fn percent(words: &mut Words<'_>) -> Result<f64, EventError> {
+    read(words, PERCENT, |word| {
+        let number: f64 = word.strip_suffix('%')?.parse().ok()?;
+        (0.0..=100.0).contains(&number).then_some(number)
+    })
+}
+
+fn range(word: &str) -> Option<(Duration, Duration)> {
+    let (from, to) = word.split_once("..")?;
+    let (from, to) = (parse_span(from)?, parse_span(to)?);
+    (from <= to).then_some((from, to))
+}
+
+fn numbered(word: &str, prefix: &str) -> Option<u32> {
+    let number = word.strip_prefix(prefix)?.parse().ok()?;
+    (number > 0).then_some(number)
+}
+
+fn read<T>(
+    words: &mut Words<'_>,
+    expected: &'static str,
+    parse: impl Fn(&str) -> Option<T>,
+) -> Result<T, EventError> {
+    let word = words.next().ok_or(EventError::Missing(expected))?;
+    parse(word).ok_or_else(|| unexpected(word, expected))
+}
+
+fn unexpected(word: &str, expected: &'static str) -> EventError {
+    EventError::Unexpected {
+        word: word.to_owned(),
+        expected,
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod command;
 pub mod content;
 pub mod error;
+pub mod events;
 pub mod fabric;
+pub mod verdict;
--- /dev/null
+++ b/arbutus-lab/src/verdict/runs.rs
@@ -0,0 +1,46 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Evidence;
+use crate::caller::{AttemptEnd, Told};
+
+/// What the runs at backend servers say about what callers were told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) struct RunCounts {
+    pub(super) wrong_answers: u64,
+    pub(super) double_runs: u64,
+    pub(super) not_run_but_ran: u64,
+    pub(super) ran_without_run: u64,
+    pub(super) cross_service: u64,
+}
+
+pub(super) fn count(evidence: &Evidence) -> RunCounts {
+    let mut counts = RunCounts::default();
+    let mut started: BTreeSet<&str> = BTreeSet::new();
+    let mut starts_of_key: BTreeMap<(&str, &str), u64> = BTreeMap::new();
+    for journal in &evidence.backends {
+        for run in &journal.runs {
+            let foreign = !run.meant_for.is_empty() && run.meant_for != journal.service;
+            counts.cross_service += u64::from(foreign);
+            if run.started_us.is_none() {
+                continue;
+            }
+            started.insert(&run.request);
+            if let Some(key) = &run.key {
+                *starts_of_key.entry((&journal.service, key)).or_default() += 1;
+            }
+        }
+    }
+    counts.double_runs = starts_of_key.values().map(|starts| starts - 1).sum();
+    for attempt in &evidence.callers.attempts {
+        let key_ran = attempt
+            .key
+            .as_ref()
+            .is_some_and(|key| starts_of_key.contains_key(&(&*attempt.service, &**key)));
+        let ran = started.contains(&*attempt.id);
+        counts.wrong_answers += u64::from(attempt.end == AttemptEnd::Wrong);
+        counts.not_run_but_ran += u64::from(attempt.told == Some(Told::NotRun) && ran);
+        let told_ran = attempt.told == Some(Told::Ran) && attempt.status == Some(200);
+        counts.ran_without_run += u64::from(told_ran && !ran && !key_ran);
+    }
+    counts
+}
