--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod command;
 pub mod content;
 pub mod error;
+pub mod events;
 pub mod fabric;
 pub mod store;
+pub mod verdict;
