--- a/arbutus-core/src/lib.rs
+++ b/arbutus-core/src/lib.rs
@@ -4,13 +4,18 @@
 //! events and a [`time::Timestamp`] go in, actions come out. The daemons feed these machines, and
 //! so can any test or bench.
 
+pub mod apply;
+pub mod binding;
 pub mod cid;
 pub mod config;
+pub mod flow;
 pub mod ident;
 pub mod keys;
 pub mod membership;
 pub mod quic;
+pub mod request;
 pub mod roster;
+pub mod route;
 pub mod spread;
 pub mod time;
 pub mod tunnel;
