--- /dev/null
+++ b/arbutus-bench/src/data_path/bare_relay.rs
@@ -0,0 +1,93 @@
+use std::{
+    io,
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use arbutus_core::tunnel;
+use arbutus_io::udp::{self, BatchReceiver, BatchSender};
+use quinn_udp::UdpSocketState;
+use tokio::{io::Interest, net::UdpSocket};
+
+/// How often the relay looks whether it is to end.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// A relay that decides nothing: datagrams go round the agents in turn.
+pub(super) struct BareRelay {
+    /// Datagrams sent on.
+    pub(super) sent: Arc<AtomicU64>,
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<io::Result<()>>,
+}
+
+impl BareRelay {
+    /// Starts the relay at `address`.
+    pub(super) fn start(address: SocketAddrV4, agents: Vec<SocketAddrV4>) -> io::Result<Self> {
+        let listen = udp::bind(address)?;
+        let out = udp::bind(SocketAddrV4::new(*address.ip(), 0))?;
+        let sent = Arc::new(AtomicU64::new(0));
+        let stop = Arc::new(AtomicBool::new(false));
+        let thread = {
+            let sent = sent.clone();
+            let stop = stop.clone();
+            thread::spawn(move || work(listen, out, &agents, &sent, &stop))
+        };
+        Ok(Self { sent, stop, thread })
+    }
+
+    /// Ends the relay.
+    pub(super) fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let _ = self.thread.join();
+    }
+}
+
+fn work(
+    listen: std::net::UdpSocket,
+    out: std::net::UdpSocket,
+    agents: &[SocketAddrV4],
+    sent: &AtomicU64,
+    stop: &AtomicBool,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async move {
+        let listen = UdpSocket::from_std(listen)?;
+        let out = UdpSocket::from_std(out)?;
+        let listen_state = UdpSocketState::new((&listen).into())?;
+        let out_state = UdpSocketState::new((&out).into())?;
+        let mut receiver = BatchReceiver::new(&listen_state);
+        let mut sender = BatchSender::new();
+        let mut turn = 0;
+        while !stop.load(Ordering::Relaxed) {
+            let ready = tokio::time::timeout(STOP_POLL, listen.readable()).await;
+            if ready.is_err() {
+                continue;
+            }
+            let receive = || {
+                receiver.receive(&listen, &listen_state, |_, datagram| {
+                    let Ok((_, payload)) = tunnel::decode_fabric(datagram) else {
+                        return;
+                    };
+                    let to = agents[turn % agents.len()];
+                    turn += 1;
+                    let write = |buf: &mut Vec<u8>| {
+                        buf.extend_from_slice(payload);
+                        Ok::<(), ()>(())
+                    };
+                    let _ = sender.add(&out, &out_state, to, write);
+                })
+            };
+            let count = listen.try_io(Interest::READABLE, receive).unwrap_or(0);
+            sender.flush(&out, &out_state);
+            sent.fetch_add(count as u64, Ordering::Relaxed);
+        }
+        Ok(())
+    })
+}
