--- a/arbutus-core/tests/membership/wire_bytes.rs
+++ b/arbutus-core/tests/membership/wire_bytes.rs
@@ -25,6 +25,7 @@
             failure_domain: "a".into(),
             control: "10.0.0.1:1".parse().expect("an address"),
             tunnel: "10.0.0.1:2".parse().expect("an address"),
+            admin_port: 3,
             incarnation: Incarnation::new(1),
             peers: Vec::new(),
         };
--- a/arbutus-core/tests/membership/world.rs
+++ b/arbutus-core/tests/membership/world.rs
@@ -105,6 +105,7 @@
             failure_domain: Arc::from(domain),
             control,
             tunnel,
+            admin_port: 7_002,
             incarnation: self.incarnation(),
             peers,
         };
@@ -123,6 +124,7 @@
             service: Arc::from(service),
             tunnel,
             control,
+            admin_port: 7_002,
             incarnation: self.incarnation(),
             balancers: self.balancer_controls(3, control),
         };
