--- a/arbutus-core/src/request/arrival.rs
+++ b/arbutus-core/src/request/arrival.rs
@@ -124,20 +124,22 @@
         now: Timestamp,
     ) {
         let expires = claim.expires_at();
-        match self.memory.get(key, claim.serial) {
-            Some(KeyState::Closed { .. }) => {
+        let state = self.memory.get(key, claim.serial);
+        // Until then the memory holds every key that ran under this binding.
+        let sure = now < expires + super::KeyMemory::MARGIN;
+        match state {
+            Some(KeyState::Closed { .. }) if sure => {
                 self.refuse(&open, 428, Refusal::BindingClosed, now);
             }
-            Some(state) => self.answer_duplicate(&open, state),
             None if now < expires => {
                 open.renew_at = self.renewal(expires);
                 self.admit_bound(open, key, now);
             }
-            // The memory still holds every key that ran under this binding, and not this one.
-            None if now < expires + super::KeyMemory::MARGIN => {
-                self.refuse(&open, 428, Refusal::BindingExpired, now);
+            None if sure => self.refuse(&open, 428, Refusal::BindingExpired, now),
+            None | Some(KeyState::Closed { .. }) => {
+                self.answer_unknown(&open, 410, Refusal::BindingExpired, None);
             }
-            None => self.answer_unknown(&open, 410, Refusal::BindingExpired, None),
+            Some(state) => self.answer_duplicate(&open, state),
         }
     }
 
--- a/arbutus-core/src/request/upstream.rs
+++ b/arbutus-core/src/request/upstream.rs
@@ -91,11 +91,11 @@
         }
     }
 
-    /// The open request whose current attempt this is.
+    /// The open request whose current attempt this is. One that is queued again has none.
     fn current(&mut self, attempt: Attempt) -> Option<&mut OpenRequest> {
         self.open
             .get_mut(&attempt.request)
-            .filter(|open| open.attempt == attempt.number)
+            .filter(|open| open.attempt == attempt.number && open.phase.has_upstream())
     }
 
     /// A cancelled attempt's answer still tells what became of its key.
