--- /dev/null
+++ b/arbutus-settings/src/keys/load.rs
@@ -0,0 +1,170 @@
+use std::path::{Path, PathBuf};
+
+use arbutus_core::keys::{KeyRing, SystemKey};
+use error_stack::Report;
+
+use crate::{
+    SettingsError,
+    document::{Document, Node, Value},
+    file,
+    findings::{Findings, Place},
+    scalar, secret,
+};
+
+/// Loads a ring of keys from numbered files, as `arbutusctl keys` writes them.
+///
+/// # Errors
+///
+/// Fails with all findings attached: files that cannot be read, are open to group or others or
+/// hold no key, numbers that stand twice or are too large, and no key for `current`.
+pub fn load<'a>(
+    files: impl IntoIterator<Item = (u8, &'a Path)>,
+    current: u8,
+) -> Result<KeyRing, Report<SettingsError>> {
+    let mut findings = Findings::new();
+    let place = Place::whole("keys".into());
+    let keys: Vec<_> = files
+        .into_iter()
+        .map(|(number, path)| Some((number, load_key(path, &place, &mut findings)?)))
+        .collect();
+    let ring = ring(keys, current, &place, &mut findings);
+    findings.into_result(ring)
+}
+
+/// Parses a secret: 64 hexadecimal digits, white space around them allowed.
+#[must_use]
+pub fn parse_secret(text: &str) -> Option<[u8; SystemKey::SECRET_BYTES]> {
+    let text = text.trim();
+    if text.len() != 2 * SystemKey::SECRET_BYTES || !text.is_ascii() {
+        return None;
+    }
+    let mut secret = [0; SystemKey::SECRET_BYTES];
+    for (index, byte) in secret.iter_mut().enumerate() {
+        let digits = text.get(2 * index..2 * index + 2)?;
+        if !digits.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+            return None;
+        }
+        *byte = u8::from_str_radix(digits, 16).ok()?;
+    }
+    Some(secret)
+}
+
+/// Loads the ring that the file `keys.jsonc` of a set describes.
+///
+/// # Errors
+///
+/// Fails where the file cannot be read, or with all findings attached.
+pub fn load_set(path: &Path) -> Result<KeyRing, Report<SettingsError>> {
+    file::load(path, read_set)
+}
+
+/// Reads the `keys` of a daemon's settings: an object, or the path of a file that holds one.
+pub(crate) fn read_ring(
+    folder: &Path,
+) -> impl FnOnce(&str, &Node, &mut Findings) -> Option<KeyRing> {
+    move |key, node, findings| {
+        if !matches!(node.value, Value::Text(_)) {
+            return read_set(folder, node, findings);
+        }
+        let path = scalar::file(folder)(key, node, findings)?;
+        let text = secret::read(&path, &node.place, findings)?;
+        let text = String::from_utf8_lossy(&text);
+        let document = Document::parse(&path.display().to_string(), &text, findings)?;
+        let folder = path.parent().unwrap_or(Path::new(""));
+        read_set(folder, document.root(), findings)
+    }
+}
+
+fn read_set(folder: &Path, node: &Node, findings: &mut Findings) -> Option<KeyRing> {
+    let set = KeyFiles::read(folder, node, findings)?;
+    let load = |file: &KeyFile| {
+        let key = load_key(&file.path, &file.place, findings)?;
+        Some((file.number, key))
+    };
+    let keys = set.files.iter().map(load).collect();
+    ring(keys, set.current, &node.place, findings)
+}
+
+/// The numbers in a file like `keys.jsonc`: the current one and all valid ones.
+pub(crate) fn numbers(file: &str, text: &str) -> Result<(u8, Vec<u8>), Report<SettingsError>> {
+    let mut findings = Findings::new();
+    let document = Document::parse(file, text, &mut findings);
+    let set = document.and_then(|it| KeyFiles::read(Path::new(""), it.root(), &mut findings));
+    let set = findings.into_result(set)?;
+    let valid = set.files.iter().map(|file| file.number).collect();
+    Ok((set.current, valid))
+}
+
+/// The object that names the system's key files.
+struct KeyFiles {
+    current: u8,
+    files: Vec<KeyFile>,
+}
+
+struct KeyFile {
+    number: u8,
+    path: PathBuf,
+    place: Place,
+}
+
+impl KeyFiles {
+    fn read(folder: &Path, node: &Node, findings: &mut Findings) -> Option<Self> {
+        let mut reader = node.reader(findings)?;
+        let current = reader.required("current", key_number);
+        let file =
+            |_: &str, node: &Node, findings: &mut Findings| KeyFile::read(folder, node, findings);
+        let files = reader.required("files", scalar::list(file));
+        reader.finish();
+        Some(Self {
+            current: current?,
+            files: files?,
+        })
+    }
+}
+
+impl KeyFile {
+    fn read(folder: &Path, node: &Node, findings: &mut Findings) -> Option<Self> {
+        let mut reader = node.reader(findings)?;
+        let number = reader.required("number", key_number);
+        let path = reader.required("path", scalar::file(folder));
+        let place = reader.node("path").map(|node| node.place.clone());
+        reader.finish();
+        Some(Self {
+            number: number?,
+            path: path?,
+            place: place?,
+        })
+    }
+}
+
+fn key_number(key: &str, node: &Node, findings: &mut Findings) -> Option<u8> {
+    let highest = KeyRing::SLOTS as u64 - 1;
+    let number = scalar::integer(0..=highest)(key, node, findings)?;
+    u8::try_from(number).ok()
+}
+
+fn load_key(path: &Path, place: &Place, findings: &mut Findings) -> Option<SystemKey> {
+    let bytes = secret::read_secret(path, place, findings)?;
+    let parsed = std::str::from_utf8(&bytes).ok().and_then(parse_secret);
+    if parsed.is_none() {
+        let message = format!("`{}` must hold 64 hexadecimal digits", path.display());
+        findings.add(place, message);
+    }
+    parsed.map(|secret| SystemKey::derive(&secret))
+}
+
+fn ring(
+    keys: Vec<Option<(u8, SystemKey)>>,
+    current: u8,
+    place: &Place,
+    findings: &mut Findings,
+) -> Option<KeyRing> {
+    let keys: Option<Vec<_>> = keys.into_iter().collect();
+    match KeyRing::new(keys?, current) {
+        Ok(ring) => Some(ring),
+        Err(error) => {
+            findings.add(place, error.to_string());
+            None
+        }
+    }
+}
