test(core): scripted scenarios of request admission; keys closed once

Cause: the randomised runs do not say what each rule answers, and do not reach the floor of closed keys.

Writing them showed three faults, mended here: a duplicate of a refused attempt closed its key anew and so spoilt the binding that the caller had just been offered; a read that had failed here and at a peer was tried a third time; and a peer's answer without an outcome was passed on as unknown with its own status, 200 included (now 502).

--- a/arbutus-core/src/request/settle.rs
+++ b/arbutus-core/src/request/settle.rs
@@ -58,7 +58,9 @@
             self.answer_unknown(open, status, reason, retry_after_s);
             return;
         }
-        if let Some(key) = open.key {
+        // A closed key stays as it is, so that the binding offered when it was closed is good.
+        let closes = !matches!(reason, Refusal::BindingClosed | Refusal::BindingExpired);
+        if let Some(key) = open.key.filter(|_| closes) {
             self.memory.close(key, self.next_serial, now);
         }
         let offer = if open.repeatable || reason == Refusal::KeyMissing {
--- a/arbutus-core/src/request/upstream.rs
+++ b/arbutus-core/src/request/upstream.rs
@@ -156,7 +156,8 @@
             Some(Outcome::NotRun) => self.owner_refused(attempt, head, now),
             Some(Outcome::Unknown) | None => {
                 self.actions.push(Action::Cancel { attempt });
-                let answer = Answer::new(head.status, Outcome::Unknown, Refusal::PeerRefused)
+                let status = head.outcome.map_or(502, |_| head.status);
+                let answer = Answer::new(status, Outcome::Unknown, Refusal::PeerRefused)
                     .retry_after_s(head.retry_after_s);
                 self.settle_closed(attempt.request, answer, now);
             }
@@ -199,13 +200,14 @@
         };
         open.doubtful |= sent;
         let was_at_peer = open.phase == Phase::AtPeer;
+        let is_first = open.attempt == 1;
         if open.phase.holds_slot() {
             self.release(open.slot_since, now);
         }
         open.phase = Phase::Queued;
         if !was_at_peer {
             self.try_elsewhere(open, reason, retry_after_s, now);
-        } else if !sent || self.spend_retry() {
+        } else if is_first && (!sent || self.spend_retry()) {
             self.admit(open, now);
         } else {
             self.refuse_after(&open, reason, retry_after_s, now);
--- /dev/null
+++ b/arbutus-core/tests/request/main.rs
@@ -0,0 +1,3 @@
+//! Scripted scenarios of the agent's decisions on requests.
+
+mod script;
