--- a/arbutus-core/tests/request_random/main.rs
+++ b/arbutus-core/tests/request_random/main.rs
@@ -3,8 +3,11 @@
 //! A journal outside the machines checks the promises. `PROPTEST_CASES` sets the number of runs
 //! and `PROPTEST_RNG_SEED` the seed.
 
+mod flight;
 mod journal;
+mod process;
 mod step;
+mod transit;
 mod world;
 
 use proptest::{
@@ -17,8 +20,10 @@
 const SEED: u64 = 20_261_203;
 
 fn config() -> Config {
-    let mut cfg = Config::default();
-    cfg.failure_persistence = None;
+    let mut cfg = Config {
+        failure_persistence: None,
+        ..Config::default()
+    };
     if std::env::var_os("PROPTEST_CASES").is_none() {
         cfg.cases = CASES;
     }
