--- a/arbutus-lab/src/admin.rs
+++ b/arbutus-lab/src/admin.rs
@@ -4,6 +4,6 @@
 mod endpoint;
 mod server;
 
-pub use client::{get, post};
+pub use client::{get, post, put};
 pub use endpoint::{Endpoint, Reply};
 pub use server::serve;
--- a/arbutus-lab/src/admin/client.rs
+++ b/arbutus-lab/src/admin/client.rs
@@ -35,6 +35,20 @@
     send(address, Method::POST, path, Bytes::from(body)).await
 }
 
+/// Puts `value` as JSON at `path` of an admin port.
+///
+/// # Errors
+///
+/// Fails where the port does not answer with success in time.
+pub async fn put(
+    address: SocketAddr,
+    path: &str,
+    value: &impl serde::Serialize,
+) -> Result<String, Report<LabError>> {
+    let body = serde_json::to_vec(value).change_context(LabError::Admin)?;
+    send(address, Method::PUT, path, Bytes::from(body)).await
+}
+
 async fn send(
     address: SocketAddr,
     method: Method,
--- /dev/null
+++ b/arbutus-lab/src/deployment.rs
@@ -0,0 +1,20 @@
+//! A whole deployment of real processes on loopback.
+
+mod binaries;
+mod layout;
+mod live_nodes;
+mod loopback_network;
+mod managed_process;
+mod operator;
+mod options;
+mod running;
+mod settings_files;
+
+pub use binaries::Binaries;
+pub use layout::{AgentPlan, Layout, ServicePlan};
+pub use live_nodes::LiveNodes;
+pub use loopback_network::LoopbackNetwork;
+pub use managed_process::ManagedProcess;
+pub use operator::Operator;
+pub use options::DeploymentOptions;
+pub use running::Deployment;
--- /dev/null
+++ b/arbutus-lab/src/deployment/binaries.rs
@@ -0,0 +1,88 @@
+use std::{
+    env,
+    ffi::OsString,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+use error_stack::{Report, ResultExt};
+
+use crate::error::LabError;
+
+const NAMES: [&str; 3] = ["arbutus-balancer", "arbutus-agent", "arbutusctl"];
+
+/// The programs of a deployment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Binaries {
+    /// The balancer.
+    pub balancer: PathBuf,
+    /// The agent.
+    pub agent: PathBuf,
+    /// The operator's command.
+    pub operator: PathBuf,
+    /// The stand-ins.
+    pub lab: PathBuf,
+}
+
+impl Binaries {
+    /// Finds the programs beside the stand-ins' own one, `lab`, and builds them where one is
+    /// missing.
+    ///
+    /// # Errors
+    ///
+    /// Fails where they cannot be built.
+    pub fn find(lab: &Path) -> Result<Self, Report<LabError>> {
+        let folder = lab.parent().unwrap_or(Path::new("."));
+        // A test program lies one folder deeper than the programs.
+        let folder = match folder.file_name() {
+            Some(name) if name == "deps" => folder.parent().unwrap_or(folder),
+            _ => folder,
+        };
+        let program = |name: &str| folder.join(format!("{name}{}", env::consts::EXE_SUFFIX));
+        if NAMES.into_iter().any(|name| !program(name).exists()) {
+            build(folder)?;
+        }
+        Ok(Self {
+            balancer: program(NAMES[0]),
+            agent: program(NAMES[1]),
+            operator: program(NAMES[2]),
+            lab: lab.to_owned(),
+        })
+    }
+
+    /// Finds the programs beside the running one.
+    ///
+    /// # Errors
+    ///
+    /// Fails where they cannot be built.
+    pub fn find_beside_self() -> Result<Self, Report<LabError>> {
+        let own = env::current_exe().change_context(LabError::File)?;
+        Self::find(&own)
+    }
+}
+
+/// Builds the programs into `folder`, with the profile that it belongs to.
+fn build(folder: &Path) -> Result<(), Report<LabError>> {
+    let cargo = env::var_os("CARGO").unwrap_or_else(|| OsString::from("cargo"));
+    let manifest = Path::new(env!("CARGO_MANIFEST_DIR")).join("../Cargo.toml");
+    let mut command = Command::new(cargo);
+    command
+        .args(["build", "--locked", "--bins", "--manifest-path"])
+        .arg(manifest);
+    for name in NAMES {
+        command.args(["-p", name]);
+    }
+    if let Some(target) = folder.parent() {
+        command.arg("--target-dir").arg(target);
+    }
+    if folder.file_name().is_some_and(|name| name == "release") {
+        command.arg("--release");
+    }
+    eprintln!("building {}", NAMES.join(", "));
+    let status = command.status().change_context(LabError::Process)?;
+    if status.success() {
+        Ok(())
+    } else {
+        Err(Report::new(LabError::Process).attach("the daemons could not be built"))
+    }
+}
--- /dev/null
+++ b/arbutus-lab/src/deployment/managed_process.rs
@@ -0,0 +1,150 @@
+use std::{
+    ffi::OsStr,
+    fs::File,
+    path::Path,
+    process::{ExitStatus, Stdio},
+    sync::Arc,
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use nix::{
+    sys::signal::{self, Signal},
+    unistd::Pid,
+};
+use tokio::{
+    io::{AsyncBufReadExt, BufReader},
+    process::{Child, Command},
+    time,
+};
+
+use crate::error::LabError;
+
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A child process that ends with its owner.
+#[derive(Debug)]
+pub struct ManagedProcess {
+    name: Arc<str>,
+    child: Child,
+}
+
+impl ManagedProcess {
+    /// Starts `program`; what it prints goes to the file `log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the program or the file cannot be had.
+    pub fn start(
+        name: &str,
+        program: &Path,
+        args: &[impl AsRef<OsStr>],
+        log: &Path,
+    ) -> Result<Self, Report<LabError>> {
+        let (stdout, stderr) = log_pair(log)?;
+        Self::spawn(name, program, args, Stdio::from(stdout), stderr)
+    }
+
+    /// Starts a stand-in and waits for the line that it prints when it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the program cannot be had, or ends or stays silent instead.
+    pub async fn start_announced(
+        name: &str,
+        program: &Path,
+        args: &[impl AsRef<OsStr>],
+        log: &Path,
+    ) -> Result<Self, Report<LabError>> {
+        let (_, stderr) = log_pair(log)?;
+        let mut process = Self::spawn(name, program, args, Stdio::piped(), stderr)?;
+        let stdout = process.child.stdout.take();
+        let mut lines = BufReader::new(stdout.ok_or(LabError::Process)?).lines();
+        let line = time::timeout(ANNOUNCE_TIMEOUT, lines.next_line()).await;
+        match line {
+            Ok(Ok(Some(_))) => Ok(process),
+            _ => Err(Report::new(LabError::NotReady)
+                .attach(name.to_owned())
+                .attach(format!("see {}", log.display()))),
+        }
+    }
+
+    fn spawn(
+        name: &str,
+        program: &Path,
+        args: &[impl AsRef<OsStr>],
+        stdout: Stdio,
+        stderr: File,
+    ) -> Result<Self, Report<LabError>> {
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(stdout)
+            .stderr(stderr)
+            .kill_on_drop(true)
+            .spawn()
+            .change_context(LabError::Process)
+            .attach_with(|| program.display().to_string())?;
+        Ok(Self {
+            name: Arc::from(name),
+            child,
+        })
+    }
+
+    /// The name it was given.
+    #[must_use]
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Sends it a signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it has ended.
+    pub fn signal(&self, signal: Signal) -> Result<(), Report<LabError>> {
+        let pid = self.child.id().and_then(|id| i32::try_from(id).ok());
+        let pid = pid.ok_or_else(|| {
+            Report::new(LabError::Process).attach(format!("{} has ended", self.name))
+        })?;
+        signal::kill(Pid::from_raw(pid), signal).change_context(LabError::Process)
+    }
+
+    /// Waits until it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it does not end within `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus, Report<LabError>> {
+        time::timeout(limit, self.child.wait())
+            .await
+            .change_context(LabError::Process)
+            .attach_with(|| format!("{} did not end within {limit:?}", self.name))?
+            .change_context(LabError::Process)
+    }
+
+    /// How it ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Ends it at once and waits until it is gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it cannot be waited for.
+    pub async fn kill(&mut self) -> Result<(), Report<LabError>> {
+        self.child.kill().await.change_context(LabError::Process)
+    }
+}
+
+fn log_pair(log: &Path) -> Result<(File, File), Report<LabError>> {
+    let file = File::options()
+        .create(true)
+        .append(true)
+        .open(log)
+        .change_context(LabError::File)
+        .attach_with(|| log.display().to_string())?;
+    let second = file.try_clone().change_context(LabError::File)?;
+    Ok((file, second))
+}
--- /dev/null
+++ b/arbutus-lab/src/deployment/operator.rs
@@ -0,0 +1,116 @@
+use std::{
+    ffi::OsStr,
+    fs,
+    path::{Path, PathBuf},
+    process::Stdio,
+};
+
+use error_stack::{Report, ResultExt};
+use serde_json::{Map, json};
+use tokio::process::Command;
+
+use super::Layout;
+use crate::error::LabError;
+
+/// The operator of a deployment: a folder of files, and `arbutusctl`.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    program: PathBuf,
+    /// The operator's files.
+    folder: PathBuf,
+    store_url: String,
+}
+
+impl Operator {
+    /// Writes the files that describe the services of `layout` into `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a file cannot be written.
+    pub fn new(program: &Path, folder: &Path, layout: &Layout) -> Result<Self, Report<LabError>> {
+        fs::create_dir_all(folder).change_context(LabError::File)?;
+        let mut services = Map::new();
+        for (index, service) in layout.services().iter().enumerate() {
+            let address = json!({ "address": layout.service(index) });
+            services.insert(service.name.to_string(), address);
+        }
+        let text = format!("{:#}\n", json!({ "services": services }));
+        fs::write(folder.join("10-services.jsonc"), text).change_context(LabError::File)?;
+        Ok(Self {
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            store_url: format!("http://{}", layout.store()),
+        })
+    }
+
+    /// Makes a set of keys with certificates for `services`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where `arbutusctl` does.
+    pub async fn make_keys(
+        program: &Path,
+        folder: &Path,
+        services: &[&str],
+    ) -> Result<(), Report<LabError>> {
+        let mut args = vec![OsStr::new("keys"), OsStr::new("init"), folder.as_os_str()];
+        for service in services {
+            args.extend([OsStr::new("--service"), OsStr::new(service)]);
+        }
+        call(program, &args).await.map(drop)
+    }
+
+    /// Applies the files; ends when the configuration is in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails where `arbutusctl` does.
+    pub async fn apply(&self) -> Result<String, Report<LabError>> {
+        self.call(&["apply"]).await
+    }
+
+    /// Drains a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Fails where `arbutusctl` does.
+    pub async fn drain(&self, service: &str, name: &str) -> Result<String, Report<LabError>> {
+        self.call(&["drain", service, name]).await
+    }
+
+    /// Takes a drain back.
+    ///
+    /// # Errors
+    ///
+    /// Fails where `arbutusctl` does.
+    pub async fn undrain(&self, service: &str, name: &str) -> Result<String, Report<LabError>> {
+        self.call(&["undrain", service, name]).await
+    }
+
+    async fn call(&self, words: &[&str]) -> Result<String, Report<LabError>> {
+        let mut args: Vec<&OsStr> = words.iter().map(OsStr::new).collect();
+        args.extend([OsStr::new("--folder"), self.folder.as_os_str()]);
+        args.extend([OsStr::new("--store"), OsStr::new(&self.store_url)]);
+        call(&self.program, &args).await
+    }
+}
+
+async fn call(program: &Path, args: &[&OsStr]) -> Result<String, Report<LabError>> {
+    let output = Command::new(program)
+        .args(args)
+        .stdin(Stdio::null())
+        .kill_on_drop(true)
+        .output()
+        .await
+        .change_context(LabError::Process)
+        .attach_with(|| program.display().to_string())?;
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    if output.status.success() {
+        return Ok(text);
+    }
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    Err(Report::new(LabError::Process)
+        .attach(format!("{} {args:?}: {}", program.display(), output.status))
+        .attach(text)
+        .attach(errors))
+}
--- a/arbutus-lab/src/events/action.rs
+++ b/arbutus-lab/src/events/action.rs
@@ -52,12 +52,21 @@
 /// How the store is made to misbehave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreBehaviour {
-    /// It answers nothing.
-    Down,
-    /// It answers after this long.
-    Slow(Duration),
-    /// It loses the answers to writes that took effect.
-    LoseAnswers,
+    /// It refuses every call for a time.
+    Down(Duration),
+    /// It leaves every call without an answer for a time.
+    Hang(Duration),
+    /// It answers each call late for a time.
+    Slow {
+        /// How late.
+        delay: Duration,
+        /// For how long.
+        span: Duration,
+    },
+    /// It leaves watches without an answer for a time.
+    SilentWatch(Duration),
+    /// It loses the answer to its next write, which takes effect.
+    LoseAnswer,
 }
 
 /// What an event does.
@@ -77,8 +86,8 @@
     Undrain(Node),
     /// Puts an agent of another service at a killed agent's address.
     Replace(Node),
-    /// Makes the store misbehave for a time.
-    Store(StoreBehaviour, Duration),
+    /// Makes the store misbehave.
+    Store(StoreBehaviour),
     /// Makes the links between fabric and balancers misbehave for a time.
     Links(LinkFaults, Duration),
     /// Cuts the balancers of one failure domain off the fabric for a time.
--- a/arbutus-lab/src/events/parse.rs
+++ b/arbutus-lab/src/events/parse.rs
@@ -39,7 +39,7 @@
 const AGENT: &str = "an agent like agent-2";
 const BACKEND: &str = "a backend server like backend-2";
 const BEHAVIOUR: &str = "one of slow, cold, shed, late, short, crossed, lying, draining";
-const STORE: &str = "one of down, slow, lose-answers";
+const STORE: &str = "one of down, hang, slow, silent-watch, lose-answer";
 const LINKS: &str = "one of loss, delay, reorder, duplicate, for";
 const SPAN: &str = "a span of time like 2s or 250ms";
 const RANGE: &str = "a range of time like 5ms..20ms";
@@ -64,7 +64,7 @@
         "undrain" => Ok(Action::Undrain(agent(words)?)),
         "replace" => Ok(Action::Replace(agent(words)?)),
         "cut" => Ok(Action::Cut(domain(words)?, for_span(words)?)),
-        "store" => Ok(Action::Store(store(words)?, for_span(words)?)),
+        "store" => Ok(Action::Store(store(words)?)),
         "fabric" => links(words),
         "backend" => Ok(Action::Backend(
             backend(words)?,
@@ -138,9 +138,14 @@
 fn store(words: &mut Words<'_>) -> Result<StoreBehaviour, EventError> {
     let word = words.next().ok_or(EventError::Missing(STORE))?;
     match word {
-        "down" => Ok(StoreBehaviour::Down),
-        "slow" => Ok(StoreBehaviour::Slow(span(words)?)),
-        "lose-answers" => Ok(StoreBehaviour::LoseAnswers),
+        "down" => Ok(StoreBehaviour::Down(for_span(words)?)),
+        "hang" => Ok(StoreBehaviour::Hang(for_span(words)?)),
+        "slow" => Ok(StoreBehaviour::Slow {
+            delay: span(words)?,
+            span: for_span(words)?,
+        }),
+        "silent-watch" => Ok(StoreBehaviour::SilentWatch(for_span(words)?)),
+        "lose-answer" => Ok(StoreBehaviour::LoseAnswer),
         _ => Err(unexpected(word, STORE)),
     }
 }
--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod command;
 pub mod content;
+pub mod deployment;
 pub mod error;
 pub mod events;
 pub mod fabric;
