--- a/arbutus-io/src/agent.rs
+++ b/arbutus-io/src/agent.rs
@@ -1,16 +1,24 @@
 //! The agent: ends callers' connections, admits requests to its backend server, tells outcomes.
 
+mod agent_error;
 mod backend;
 mod caller_connection;
 mod caller_endpoint;
 mod cid_generator;
+mod control_task;
+mod daemon;
 mod flow_desk;
 mod headers;
 mod peer_client;
+mod peer_loads;
 mod request_desk;
 mod request_task;
 mod responder;
 mod return_path;
+mod server;
 mod tunnel_socket;
+mod upstream;
+mod views;
 
-pub use caller_endpoint::CallerEndpoint;
+pub use agent_error::AgentError;
+pub use daemon::run;
--- a/arbutus-io/src/lib.rs
+++ b/arbutus-io/src/lib.rs
@@ -5,9 +5,12 @@
 
 pub mod admin;
 pub mod agent;
+pub mod balancer;
 pub mod clock;
 pub mod control;
 pub mod metrics;
 mod reset_key;
+pub mod shutdown;
+pub mod store;
 pub mod telemetry;
 pub mod udp;
--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod error;
 pub mod events;
 pub mod fabric;
+pub mod store;
 pub mod verdict;
