feat(lab): experiments on real processes

run starts a deployment on a loopback network of its own, makes load, does the events and compares the journals.

Not run yet against the daemons.

--- a/arbutus-lab/src/command.rs
+++ b/arbutus-lab/src/command.rs
@@ -5,5 +5,7 @@
 mod caller_command;
 mod fabric_command;
 mod main_command;
+mod run_command;
+mod store_command;
 
 pub use main_command::main;
--- a/arbutus-lab/src/command/main_command.rs
+++ b/arbutus-lab/src/command/main_command.rs
@@ -3,7 +3,9 @@
 use error_stack::Report;
 use lexopt::{Arg, Parser};
 
-use super::{args::Args, backend_command, caller_command, fabric_command};
+use super::{
+    args::Args, backend_command, caller_command, fabric_command, run_command, store_command,
+};
 use crate::error::LabError;
 
 const HELP: &str = "\
@@ -15,6 +17,8 @@
   fabric   sprays callers' datagrams over the balancers
   backend  a backend server over HTTP/1.1
   caller   makes load over HTTP/3 and writes down what callers are told
+  store    the platform's key-value service
+  run      an experiment on real processes, judged afterwards
 
 Options:
   -h, --help     prints this text; after a command, the command's own
@@ -59,6 +63,8 @@
     match name.to_str() {
         Some("fabric") => runtime.block_on(fabric_command::run(args)),
         Some("backend") => runtime.block_on(backend_command::run(args)),
+        Some("store") => runtime.block_on(store_command::run(args)),
+        Some("run") => runtime.block_on(run_command::run(args)),
         Some("caller") => runtime.block_on(caller_command::run(args)),
         _ => {
             let text = format!("unknown command {}\n{HELP}", name.display());
--- /dev/null
+++ b/arbutus-lab/src/command/store_command.rs
@@ -0,0 +1,36 @@
+use std::{net::SocketAddr, process::ExitCode};
+
+use error_stack::{Report, ResultExt};
+
+use super::args::{Args, Flag, unexpected};
+use crate::{error::LabError, store};
+
+const HELP: &str = "\
+The platform's key-value service: compare-and-swap, sessions and blocking queries over HTTP. Prints
+its address as one line of JSON, then runs until it is stopped. GET /lab/counts tells its calls, PUT
+/lab/fault makes it misbehave.
+
+Usage: arbutus-lab store [OPTIONS]
+
+Options:
+  --listen IP:PORT  where it serves [127.0.0.1:0]
+";
+
+pub(super) async fn run(mut args: Args) -> Result<ExitCode, Report<LabError>> {
+    let mut listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    while let Some(flag) = args.next()? {
+        match &flag {
+            Flag::Long(name) => match name.as_str() {
+                "listen" => listen = args.value()?,
+                "help" => {
+                    print!("{HELP}");
+                    return Ok(ExitCode::SUCCESS);
+                }
+                _ => return Err(unexpected(&flag)),
+            },
+            Flag::Positional(_) => return Err(unexpected(&flag)),
+        }
+    }
+    store::run(listen).await.change_context(LabError::Socket)?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/arbutus-lab/src/deployment/operator.rs
+++ b/arbutus-lab/src/deployment/operator.rs
@@ -12,6 +12,9 @@
 use super::Layout;
 use crate::error::LabError;
 
+/// Least length of the queue that an ordinary change sets.
+const QUEUE: u64 = 20;
+
 /// The operator of a deployment: a folder of files, and `arbutusctl`.
 #[derive(Debug, Clone)]
 pub struct Operator {
@@ -69,6 +72,20 @@
         self.call(&["apply"]).await
     }
 
+    /// Makes an ordinary change: edits a small file and applies.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the file cannot be written or `arbutusctl` fails.
+    pub async fn change(&self, service: &str, number: u64) -> Result<String, Report<LabError>> {
+        let queue = QUEUE + number % QUEUE;
+        let requests = json!({ "requests": { "queue": queue } });
+        let text = format!("{:#}\n", json!({ "services": { service: requests } }));
+        let path = self.folder.join("20-queue.jsonc");
+        fs::write(path, text).change_context(LabError::File)?;
+        self.apply().await
+    }
+
     /// Drains a backend server.
     ///
     /// # Errors
--- /dev/null
+++ b/arbutus-lab/src/experiment/control_sampler.rs
@@ -0,0 +1,87 @@
+use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc, time::Duration};
+
+use futures_util::future;
+use parking_lot::Mutex;
+use tokio::{task::JoinHandle, time, time::Instant};
+
+use crate::{admin, deployment::LiveNodes};
+
+const INTERVAL: Duration = Duration::from_secs(1);
+const METRIC: &str = "arbutus_control_bytes_total";
+
+/// Reads the control bytes of all daemons while they run.
+#[derive(Debug)]
+pub(super) struct ControlSampler {
+    spans: Arc<Mutex<BTreeMap<Arc<str>, Span>>>,
+    task: JoinHandle<()>,
+}
+
+/// The first and the latest reading of one life of a process.
+#[derive(Debug, Clone, Copy)]
+struct Span {
+    first: Reading,
+    latest: Reading,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    at: Instant,
+    bytes: f64,
+}
+
+impl Span {
+    fn rate(&self) -> f64 {
+        let seconds = self.latest.at.duration_since(self.first.at).as_secs_f64();
+        if seconds > 0.0 {
+            (self.latest.bytes - self.first.bytes) / seconds
+        } else {
+            0.0
+        }
+    }
+}
+
+impl ControlSampler {
+    pub(super) fn start(live: LiveNodes) -> Self {
+        let spans = Arc::new(Mutex::new(BTreeMap::new()));
+        let task = tokio::spawn(sample(live, Arc::clone(&spans)));
+        Self { spans, task }
+    }
+
+    /// Ends the readings; the result is the rate of the process with the most, in bytes each second.
+    pub(super) fn finish(self) -> f64 {
+        self.task.abort();
+        let spans = self.spans.lock();
+        spans.values().map(Span::rate).fold(0.0, f64::max)
+    }
+}
+
+async fn sample(live: LiveNodes, spans: Arc<Mutex<BTreeMap<Arc<str>, Span>>>) {
+    let mut ticks = time::interval(INTERVAL);
+    loop {
+        ticks.tick().await;
+        let nodes = live.all();
+        let readings = nodes.into_iter().map(|(name, admin)| read(name, admin));
+        for (name, reading) in future::join_all(readings).await.into_iter().flatten() {
+            let mut spans = spans.lock();
+            let span = spans.entry(name).or_insert(Span {
+                first: reading,
+                latest: reading,
+            });
+            if reading.bytes < span.latest.bytes {
+                span.first = reading;
+            }
+            span.latest = reading;
+        }
+    }
+}
+
+async fn read(name: Arc<str>, admin: SocketAddrV4) -> Option<(Arc<str>, Reading)> {
+    let text = admin::get(admin.into(), "/metrics").await.ok()?;
+    let bytes = text
+        .lines()
+        .filter(|line| line.starts_with(METRIC))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum();
+    let at = Instant::now();
+    Some((name, Reading { at, bytes }))
+}
--- /dev/null
+++ b/arbutus-lab/src/experiment/load.rs
@@ -0,0 +1,56 @@
+use std::sync::Arc;
+
+use error_stack::{Report, ResultExt};
+use tokio::task::JoinHandle;
+
+use super::ExperimentOptions;
+use crate::{
+    caller::{self, CallerJournal, CallerOptions},
+    deployment::Deployment,
+    error::LabError,
+};
+
+/// Callers of each service besides the one under test.
+const OTHER_CALLERS: u32 = 4;
+/// Share of the tested service's rate that each other service gets.
+const OTHER_RATE_DIVISOR: u32 = 8;
+
+/// The load on all services.
+#[derive(Debug)]
+pub(super) struct Load {
+    callers: Vec<JoinHandle<Result<CallerJournal, Report<LabError>>>>,
+}
+
+impl Load {
+    pub(super) fn start(deployment: &Deployment, options: &ExperimentOptions) -> Self {
+        let layout = deployment.layout();
+        let services = layout.services().iter().enumerate();
+        let callers = services.map(|(index, service)| {
+            let target = layout.service(index);
+            let mut caller = CallerOptions::new(target, &service.name, deployment.ca());
+            caller.callers = options.callers;
+            caller.rate = options.rate;
+            caller.duration = options.duration;
+            caller.post_percent = options.post_percent;
+            caller.seed = options.deployment.seed + index as u64;
+            caller.label = Arc::clone(&service.name);
+            if index > 0 {
+                caller.callers = OTHER_CALLERS;
+                caller.rate = (options.rate / OTHER_RATE_DIVISOR).max(1);
+            }
+            tokio::spawn(caller::run(caller))
+        });
+        Self {
+            callers: callers.collect(),
+        }
+    }
+
+    /// Waits until every request has its outcome.
+    pub(super) async fn finish(self) -> Result<CallerJournal, Report<LabError>> {
+        let mut journal = CallerJournal::default();
+        for caller in self.callers {
+            journal.extend(caller.await.change_context(LabError::Process)??);
+        }
+        Ok(journal)
+    }
+}
--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod deployment;
 pub mod error;
 pub mod events;
+pub mod experiment;
 pub mod fabric;
 pub mod store;
 pub mod verdict;
--- a/arbutus-lab/src/verdict/blame.rs
+++ b/arbutus-lab/src/verdict/blame.rs
@@ -69,10 +69,14 @@
         self.explains(backends, attempt.end_us)
     }
 
-    /// Whether a planned change was made before `end_us`.
+    /// Whether nodes were started, stopped or drained before `end_us`.
     pub(super) fn planned_before(&self, end_us: u64) -> bool {
         let planned = |change: &Change| change.kind.is_planned() && change.at_us <= end_us;
-        self.changes.iter().any(planned)
+        let mut nodes = self
+            .changes
+            .iter()
+            .filter(|it| it.kind != ChangeKind::Apply);
+        nodes.any(planned)
     }
 
     fn explains<'b>(&self, backends: impl Iterator<Item = &'b Arc<str>>, end_us: u64) -> bool {
