--- a/arbutus-core/src/request/upstream.rs
+++ b/arbutus-core/src/request/upstream.rs
@@ -91,11 +91,11 @@
         }
     }
 
-    /// The open request whose current attempt this is.
+    /// The open request whose current attempt this is. One that is queued again has none.
     fn current(&mut self, attempt: Attempt) -> Option<&mut OpenRequest> {
         self.open
             .get_mut(&attempt.request)
-            .filter(|open| open.attempt == attempt.number)
+            .filter(|open| open.attempt == attempt.number && open.phase.has_upstream())
     }
 
     /// A cancelled attempt's answer still tells what became of its key.
@@ -156,7 +156,8 @@
             Some(Outcome::NotRun) => self.owner_refused(attempt, head, now),
             Some(Outcome::Unknown) | None => {
                 self.actions.push(Action::Cancel { attempt });
-                let answer = Answer::new(head.status, Outcome::Unknown, Refusal::PeerRefused)
+                let status = head.outcome.map_or(502, |_| head.status);
+                let answer = Answer::new(status, Outcome::Unknown, Refusal::PeerRefused)
                     .retry_after_s(head.retry_after_s);
                 self.settle_closed(attempt.request, answer, now);
             }
@@ -199,13 +200,14 @@
         };
         open.doubtful |= sent;
         let was_at_peer = open.phase == Phase::AtPeer;
+        let is_first = open.attempt == 1;
         if open.phase.holds_slot() {
             self.release(open.slot_since, now);
         }
         open.phase = Phase::Queued;
         if !was_at_peer {
             self.try_elsewhere(open, reason, retry_after_s, now);
-        } else if !sent || self.spend_retry() {
+        } else if is_first && (!sent || self.spend_retry()) {
             self.admit(open, now);
         } else {
             self.refuse_after(&open, reason, retry_after_s, now);
