test(core): committing changes, scripted and in random runs

Several windows over one store that refuses, loses, delays and answers late. Every report is compared with the store's own log: accepted is there once and over the operator's base, everything else that is certain is not there. A base file keeps the highest version seen, so that a store that lost its data never lowers one.

--- /dev/null
+++ b/arbutus-core/tests/apply/desk.rs
@@ -0,0 +1,74 @@
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use arbutus_core::{
+    apply::{Action, Apply, Base, ChangeId, ChangeRecord, Event, Outcome, Services, Stored},
+    config::{ConfigVersion, Service, Snapshot},
+    time::Timestamp,
+};
+
+use super::fake_store::{FakeStore, Fault};
+
+/// One window of an operator, with a change under way.
+#[derive(Debug)]
+pub struct Desk {
+    pub id: ChangeId,
+    pub base: Base,
+    pub apply: Apply,
+    pub action: Action,
+}
+
+impl Desk {
+    /// Begins a change to `desired` over `base`.
+    pub fn begin(id: ChangeId, base: Base, desired: Services, now: Timestamp) -> Self {
+        let change = ChangeRecord::new(id, "desk", 0);
+        let mut apply = Apply::new(base.clone(), desired, change, 1);
+        let action = apply.handle(Event::Started, now);
+        Self {
+            id,
+            base,
+            apply,
+            action,
+        }
+    }
+
+    /// Performs what the machine asked for; a wait passes the time.
+    pub fn step(&mut self, store: &mut FakeStore, fault: Fault, now: &mut Timestamp) {
+        if self.action == Action::Wait {
+            *now = (*now).max(self.apply.next_wakeup().expect("a time to wake"));
+        }
+        let event = store.perform(&self.action, fault);
+        self.action = self.apply.handle(event, *now);
+        if let Action::Finish(Outcome::Accepted { obsolete, .. }) = &self.action {
+            store.delete(obsolete);
+        }
+    }
+
+    /// How the change ended.
+    pub fn outcome(&self) -> Option<&Outcome> {
+        match &self.action {
+            Action::Finish(outcome) => Some(outcome),
+            _ => None,
+        }
+    }
+}
+
+/// The base of an operator who has just read the store.
+pub fn base_of(stored: &Stored) -> Base {
+    Base {
+        version: stored.version(),
+        change: stored.index.as_ref().map(|index| index.change.id),
+        services: stored.plain_services(),
+        floor: stored.version(),
+    }
+}
+
+/// Services by `name` or `name/slots`.
+pub fn services<'a>(words: impl IntoIterator<Item = &'a str>) -> Services {
+    let service = |(port, word): (u16, &str)| {
+        let (name, slots) = word.split_once('/').unwrap_or((word, "5"));
+        let mut service = Service::new(name, SocketAddrV4::new(Ipv4Addr::LOCALHOST, port));
+        service.requests.slots = slots.parse().expect("a number of slots");
+        service
+    };
+    Snapshot::new(ConfigVersion::NONE, (1..).zip(words).map(service)).services
+}
--- a/arbutus-settings/src/operator/base_file.rs
+++ b/arbutus-settings/src/operator/base_file.rs
@@ -22,6 +22,8 @@
     pub change: Option<ChangeId>,
     /// Its services.
     pub services: Vec<Arc<Service>>,
+    /// The highest version ever seen from this folder; at least `version`.
+    pub highest: ConfigVersion,
     /// A change that was begun and whose end is not known yet.
     pub pending: Option<PendingChange>,
 }
@@ -78,17 +80,31 @@
         fs::rename(&partial, &path).map_err(|error| file_error(error, &path))
     }
 
-    /// The base that the store now holds.
+    /// Moves on to another version.
     #[must_use]
-    pub fn of(stored: &Stored) -> Self {
+    pub fn moved_to(
+        self,
+        version: ConfigVersion,
+        change: Option<ChangeId>,
+        services: Vec<Arc<Service>>,
+    ) -> Self {
         Self {
-            version: stored.version(),
-            change: stored.index.as_ref().map(|index| index.change.id),
-            services: stored.plain_services().into_values().collect(),
+            version,
+            change,
+            services,
+            highest: self.highest.max(version),
             pending: None,
         }
     }
 
+    /// Moves on to what the store now holds.
+    #[must_use]
+    pub fn moved_to_stored(self, stored: &Stored) -> Self {
+        let change = stored.index.as_ref().map(|index| index.change.id);
+        let services = stored.plain_services().into_values().collect();
+        self.moved_to(stored.version(), change, services)
+    }
+
     /// Moves on to the pending change if the store took it after all.
     #[must_use]
     pub fn settle(mut self, stored: &Stored) -> Self {
@@ -98,12 +114,7 @@
         let mut changes = stored.index.iter().flat_map(Index::changes);
         match changes.find(|change| change.id == pending.id) {
             None => self,
-            Some(change) => Self {
-                version: change.version,
-                change: Some(change.id),
-                services: pending.services,
-                pending: None,
-            },
+            Some(change) => self.moved_to(change.version, Some(change.id), pending.services),
         }
     }
 
@@ -115,7 +126,7 @@
             version: self.version,
             change: self.change,
             services: tagged.collect::<Services>(),
-            floor: self.version,
+            floor: self.highest,
         }
     }
 }
--- a/arbutusctl/src/command/apply.rs
+++ b/arbutusctl/src/command/apply.rs
@@ -30,7 +30,7 @@
     let loaded = folder::load(&options.folder)?;
     let clock = Instant::now();
     let base = match options.onto {
-        Some(version) => match onto(store, version).await? {
+        Some(version) => match onto(store, base, version).await? {
             Ok(onto) => onto,
             Err(lost) => return Ok(ApplyReport::new(lost).print(options.json)),
         },
@@ -50,11 +50,12 @@
 /// The base that `--onto` asks for, or the race where the store has another version.
 async fn onto(
     store: &StoreSettings,
+    base: BaseFile,
     version: u64,
 ) -> Result<Result<BaseFile, Outcome>, Report<CtlError>> {
     let stored = read(store).await.change_context(CtlError::Store)?;
     if stored.version() == ConfigVersion::new(version) {
-        return Ok(Ok(BaseFile::of(&stored)));
+        return Ok(Ok(base.moved_to_stored(&stored)));
     }
     Ok(Err(Outcome::LostRace {
         version: stored.version(),
@@ -102,18 +103,8 @@
         .tunables(Tunables::new().give_up_after(options.try_for));
     let outcome = commit(store, apply).await;
     let after = match &outcome {
-        Outcome::Accepted { version, .. } => BaseFile {
-            version: *version,
-            change: Some(id),
-            services,
-            pending: None,
-        },
-        Outcome::AlreadyInForce { version } => BaseFile {
-            version: *version,
-            change: None,
-            services,
-            pending: None,
-        },
+        Outcome::Accepted { version, .. } => base.moved_to(*version, Some(id), services),
+        Outcome::AlreadyInForce { version } => base.moved_to(*version, None, services),
         Outcome::Unknown { .. } => return Ok(outcome),
         _ => BaseFile {
             pending: None,
