--- a/arbutus-lab/src/backend.rs
+++ b/arbutus-lab/src/backend.rs
@@ -3,6 +3,7 @@
 mod backend_options;
 mod backend_state;
 mod behaviour;
+mod crossing_stream;
 mod run_record;
 mod server;
 mod service_time;
--- a/arbutus-lab/src/backend/server.rs
+++ b/arbutus-lab/src/backend/server.rs
@@ -23,7 +23,10 @@
     time,
 };
 
-use super::{BackendOptions, BackendState, Behaviour, BehaviourCommand, Fate, RunRecord};
+use super::{
+    BackendOptions, BackendState, Behaviour, BehaviourCommand, Fate, RunRecord,
+    crossing_stream::{CrossingStream, Unasked},
+};
 use crate::{
     admin::{self, Endpoint, Reply},
     clock, content,
@@ -34,6 +37,8 @@
 
 /// How late an answer comes that is told to be late, in milliseconds after its deadline.
 const LATE_MS: u64 = 300;
+/// The request that answers without a request belong to.
+const NOBODY: &str = "nobody";
 const DEFAULT_DEADLINE_MS: u64 = 2_000;
 /// Lets the part of a short answer leave before its connection breaks.
 const SHORT_PAUSE: Duration = Duration::from_millis(20);
@@ -110,7 +115,9 @@
     }
 
     async fn serve(self: Arc<Self>, stream: TcpStream) {
-        let service = service_fn(|req| Arc::clone(&self).answer(req));
+        let unasked = Unasked::default();
+        let service = service_fn(|req| Arc::clone(&self).answer(req, unasked.clone()));
+        let stream = CrossingStream::new(stream, unasked.clone());
         // A connection that breaks is the business of its client.
         let _ = http1::Builder::new()
             .serve_connection(TokioIo::new(stream), service)
@@ -120,17 +127,19 @@
     async fn answer(
         self: Arc<Self>,
         req: Request<Incoming>,
+        unasked: Unasked,
     ) -> Result<Response<Body>, std::io::Error> {
         match req.uri().path() {
             "/health" => Ok(self.health()),
             "/load" => Ok(self.load()),
-            _ => self.work(req).await,
+            _ => self.work(req, &unasked).await,
         }
     }
 
     async fn work(
         self: Arc<Self>,
         req: Request<Incoming>,
+        unasked: &Unasked,
     ) -> Result<Response<Body>, std::io::Error> {
         let (parts, body) = req.into_parts();
         let arrived = clock::now_micros();
@@ -167,6 +176,9 @@
             time::sleep(Duration::from_millis(wait)).await;
         }
         let content = content::body(&self.service, key.unwrap_or(request));
+        if behaviour == Behaviour::Crossed {
+            unasked.add(&content::body(&self.service, NOBODY));
+        }
         Ok(self.whole_or_short(content, behaviour))
     }
 
--- a/arbutus-lab/src/command.rs
+++ b/arbutus-lab/src/command.rs
@@ -3,6 +3,7 @@
 mod args;
 mod backend_command;
 mod caller_command;
+mod demo_command;
 mod fabric_command;
 mod main_command;
 mod run_command;
--- a/arbutus-lab/src/command/args.rs
+++ b/arbutus-lab/src/command/args.rs
@@ -14,6 +14,13 @@
     Positional(OsString),
 }
 
+impl Flag {
+    /// Whether it is the option with this long name.
+    pub(super) fn is_long(&self, name: &str) -> bool {
+        matches!(self, Self::Long(long) if long == name)
+    }
+}
+
 /// Reads the command line of a subcommand.
 pub(super) struct Args(Parser);
 
--- a/arbutus-lab/src/command/main_command.rs
+++ b/arbutus-lab/src/command/main_command.rs
@@ -4,7 +4,8 @@
 use lexopt::{Arg, Parser};
 
 use super::{
-    args::Args, backend_command, caller_command, fabric_command, run_command, store_command,
+    args::Args, backend_command, caller_command, demo_command, fabric_command, run_command,
+    store_command,
 };
 use crate::error::LabError;
 
@@ -14,11 +15,12 @@
 Usage: arbutus-lab COMMAND [OPTIONS]
 
 Commands:
+  demo     a small deployment that serves requests, and what happened
+  run      an experiment on real processes, judged afterwards
   fabric   sprays callers' datagrams over the balancers
   backend  a backend server over HTTP/1.1
   caller   makes load over HTTP/3 and writes down what callers are told
   store    the platform's key-value service
-  run      an experiment on real processes, judged afterwards
 
 Options:
   -h, --help     prints this text; after a command, the command's own
@@ -64,6 +66,7 @@
         Some("fabric") => runtime.block_on(fabric_command::run(args)),
         Some("backend") => runtime.block_on(backend_command::run(args)),
         Some("store") => runtime.block_on(store_command::run(args)),
+        Some("demo") => runtime.block_on(demo_command::run(args)),
         Some("run") => runtime.block_on(run_command::run(args)),
         Some("caller") => runtime.block_on(caller_command::run(args)),
         _ => {
--- a/arbutus-lab/src/deployment/live_nodes.rs
+++ b/arbutus-lab/src/deployment/live_nodes.rs
@@ -17,6 +17,16 @@
         self.0.lock().remove(name);
     }
 
+    /// Those of balancers.
+    #[must_use]
+    pub fn balancers(&self) -> Vec<SocketAddrV4> {
+        let nodes = self.0.lock();
+        let balancers = nodes
+            .iter()
+            .filter(|(name, _)| name.starts_with("balancer-"));
+        balancers.map(|(_, admin)| *admin).collect()
+    }
+
     /// All of them, by name.
     #[must_use]
     pub fn all(&self) -> BTreeMap<Arc<str>, SocketAddrV4> {
--- a/arbutus-lab/src/deployment/running.rs
+++ b/arbutus-lab/src/deployment/running.rs
@@ -72,15 +72,16 @@
         let names: Vec<&str> = options.services.iter().map(|it| &*it.name).collect();
         let keys = folder.path().join("keys");
         Operator::make_keys(&binaries.operator, &keys, &names).await?;
+        let live = LiveNodes::default();
         let files = folder.path().join("services");
-        let operator = Operator::new(&binaries.operator, &files, &layout)?;
+        let operator = Operator::new(&binaries.operator, &files, &layout, &live)?;
         let stand_ins = start_stand_ins(&binaries, &options, &layout, folder.path()).await?;
         let mut deployment = Self {
             layout,
             binaries,
             options,
             operator,
-            live: LiveNodes::default(),
+            live,
             balancers: BTreeMap::new(),
             agents: BTreeMap::new(),
             backends: BTreeMap::new(),
--- a/arbutus-lab/src/experiment/timeline.rs
+++ b/arbutus-lab/src/experiment/timeline.rs
@@ -194,6 +194,7 @@
     }
 }
 
+/// Makes the change, again where the store does not answer, and waits until it is in force.
 async fn carry_out(
     operator: &Operator,
     service: &str,
@@ -204,26 +205,26 @@
     let patience = Instant::now() + OPERATOR_PATIENCE;
     loop {
         let old = config_watch::highest_version(live).await;
-        let start = Instant::now();
-        let now = clock::now_micros();
-        let (kind, on, result) = match order {
-            Order::Change => {
-                let result = operator.change(service, now).await;
-                (ChangeKind::Apply, Target::Store, result)
-            }
-            Order::Drain(node) => {
-                let result = operator.drain(service, &node.to_string()).await;
-                (ChangeKind::Drain, target(*node), result)
-            }
-            Order::Undrain(node) => {
-                let result = operator.undrain(service, &node.to_string()).await;
-                (ChangeKind::Undrain, target(*node), result)
+        let (start, now) = (Instant::now(), clock::now_micros());
+        let in_force = config_watch::in_force_s(live, old, start);
+        let mut in_force = std::pin::pin!(in_force);
+        let mut seconds = None;
+        let result = {
+            let mut made = std::pin::pin!(make(operator, service, order, now));
+            loop {
+                tokio::select! {
+                    result = &mut made => break result,
+                    it = &mut in_force, if seconds.is_none() => seconds = Some(it),
+                }
             }
         };
         match result {
-            Ok(_) => {
-                findings.change(Change::new(now, kind, on));
-                let seconds = config_watch::in_force_s(live, old, start).await;
+            Ok(change) => {
+                findings.change(change);
+                let seconds = match seconds {
+                    Some(seconds) => seconds,
+                    None => in_force.await,
+                };
                 findings.config_in_force(seconds);
                 return;
             }
@@ -236,6 +237,28 @@
     }
 }
 
+async fn make(
+    operator: &Operator,
+    service: &str,
+    order: &Order,
+    now: u64,
+) -> Result<Change, Report<LabError>> {
+    match order {
+        Order::Change => {
+            operator.change(service, now).await?;
+            Ok(Change::new(now, ChangeKind::Apply, Target::Store))
+        }
+        Order::Drain(node) => {
+            operator.drain(service, &node.to_string()).await?;
+            Ok(Change::new(now, ChangeKind::Drain, target(*node)))
+        }
+        Order::Undrain(node) => {
+            operator.undrain(service, &node.to_string()).await?;
+            Ok(Change::new(now, ChangeKind::Undrain, target(*node)))
+        }
+    }
+}
+
 fn target(node: Node) -> Target {
     let name = Arc::from(node.to_string());
     match node.role {
--- a/arbutus-lab/tests/backend_server.rs
+++ b/arbutus-lab/tests/backend_server.rs
@@ -119,3 +119,15 @@
     assert!(journal[0].started_us.is_some());
     drop(running);
 }
+
+#[tokio::test]
+async fn a_crossed_answer_follows_the_right_one_unasked() {
+    let backend = start(5, Duration::from_millis(1)).await;
+    behave(&backend, Behaviour::Crossed).await;
+    let answer = ask(&backend, "r1").await;
+    let right = content::body("lookup", "r1");
+    let foreign = content::body("lookup", "nobody");
+    let (head, rest) = answer.split_once(&right).expect("the right body");
+    assert!(head.starts_with("HTTP/1.1 200"));
+    assert!(rest.starts_with("HTTP/1.1 200") && rest.ends_with(&foreign));
+}
