--- a/arbutus-lab/src/deployment.rs
+++ b/arbutus-lab/src/deployment.rs
@@ -5,10 +5,13 @@
 mod live_nodes;
 mod loopback_network;
 mod managed_process;
+mod nodes;
 mod operator;
 mod options;
+mod readiness;
 mod running;
 mod settings_files;
+mod stand_ins;
 
 pub use binaries::Binaries;
 pub use layout::{AgentPlan, Layout, ServicePlan};
--- /dev/null
+++ b/arbutus-lab/src/deployment/stand_ins.rs
@@ -0,0 +1,109 @@
+use std::{path::Path, sync::Arc};
+
+use error_stack::{Report, ResultExt};
+use serde_json::Value;
+
+use super::{
+    AgentPlan, Binaries, Deployment, DeploymentOptions, Layout, ManagedProcess, layout,
+    running::log,
+};
+use crate::{
+    admin,
+    backend::{BehaviourCommand, RunRecord},
+    error::LabError,
+    events::Node,
+    fabric::FabricCommand,
+    verdict::BackendJournal,
+};
+
+/// What the stand-ins can be told and asked.
+impl Deployment {
+    /// Tells the fabric something.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it does not obey.
+    pub async fn fabric(&self, command: &FabricCommand) -> Result<(), Report<LabError>> {
+        let admin = self.layout.fabric_admin().into();
+        admin::post(admin, "/command", command).await.map(drop)
+    }
+
+    /// Makes the store misbehave as its stand-in reads it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it does not obey.
+    pub async fn store(&self, fault: &Value) -> Result<(), Report<LabError>> {
+        let store = self.layout.store().into();
+        admin::put(store, "/lab/fault", fault).await.map(drop)
+    }
+
+    /// Tells the backend server beside an agent how to behave.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it does not run or does not obey.
+    pub async fn backend(
+        &self,
+        node: Node,
+        command: BehaviourCommand,
+    ) -> Result<(), Report<LabError>> {
+        let host = self.layout.agent(node.number).host;
+        let admin = layout::backend_admin(host).into();
+        admin::post(admin, "/lab/behaviour", &command)
+            .await
+            .map(drop)
+    }
+
+    /// What all backend servers wrote down.
+    ///
+    /// # Errors
+    ///
+    /// Fails where one does not answer.
+    pub async fn journals(&self) -> Result<Vec<BackendJournal>, Report<LabError>> {
+        let mut journals = self.retired.clone();
+        for (plan, _) in self.backends.values() {
+            journals.push(journal(plan).await?);
+        }
+        Ok(journals)
+    }
+}
+
+pub(super) async fn journal(plan: &AgentPlan) -> Result<BackendJournal, Report<LabError>> {
+    let admin = layout::backend_admin(plan.host).into();
+    let text = admin::get(admin, "/lab/journal").await?;
+    let runs: Vec<RunRecord> = serde_json::from_str(&text).change_context(LabError::Admin)?;
+    Ok(BackendJournal {
+        name: Arc::clone(&plan.name),
+        service: Arc::clone(&plan.service),
+        runs,
+    })
+}
+
+pub(super) async fn start_stand_ins(
+    binaries: &Binaries,
+    options: &DeploymentOptions,
+    layout: &Layout,
+    folder: &Path,
+) -> Result<Vec<ManagedProcess>, Report<LabError>> {
+    let store = [
+        String::from("store"),
+        format!("--listen={}", layout.store()),
+    ];
+    let mut fabric = vec![
+        String::from("fabric"),
+        format!("--egress={}", layout.egress()),
+        format!("--admin={}", layout.fabric_admin()),
+        format!("--seed={}", options.seed),
+    ];
+    for index in 0..options.services.len() {
+        fabric.push(format!("--service={}", layout.service(index)));
+    }
+    let lab = &binaries.lab;
+    let store_log = log(folder, "store");
+    let fabric_log = log(folder, "fabric");
+    Ok(vec![
+        ManagedProcess::start_announced("store", lab, &store, &store_log).await?,
+        ManagedProcess::start_announced("fabric", lab, &fabric, &fabric_log).await?,
+    ])
+}
