--- a/arbutus-core/tests/membership/world.rs
+++ b/arbutus-core/tests/membership/world.rs
@@ -101,10 +101,12 @@
         let (control, tunnel) = self.addresses(name);
         let peers = self.balancer_controls(3, control);
         let identity = BalancerIdentity {
+            admin_port: 0,
             name: Arc::from(name),
             failure_domain: Arc::from(domain),
             control,
             tunnel,
+            admin_port: 7_002,
             incarnation: self.incarnation(),
             peers,
         };
@@ -118,11 +120,13 @@
     pub fn start_agent(&mut self, name: &str, domain: &str, service: &str, at: Option<&str>) {
         let (control, tunnel) = self.addresses(at.unwrap_or(name));
         let identity = AgentIdentity {
+            admin_port: 0,
             name: Arc::from(name),
             failure_domain: Arc::from(domain),
             service: Arc::from(service),
             tunnel,
             control,
+            admin_port: 7_002,
             incarnation: self.incarnation(),
             balancers: self.balancer_controls(3, control),
         };
