--- a/arbutus-core/tests/membership/wire_bytes.rs
+++ b/arbutus-core/tests/membership/wire_bytes.rs
@@ -21,7 +21,6 @@
         (0_u8..11, proptest::collection::vec(any::<u8>(), 0..200)), 1..20,
     )) {
         let identity = BalancerIdentity {
-            admin_port: 0,
             name: "b".into(),
             failure_domain: "a".into(),
             control: "10.0.0.1:1".parse().expect("an address"),
--- a/arbutus-core/tests/membership/world.rs
+++ b/arbutus-core/tests/membership/world.rs
@@ -101,7 +101,6 @@
         let (control, tunnel) = self.addresses(name);
         let peers = self.balancer_controls(3, control);
         let identity = BalancerIdentity {
-            admin_port: 0,
             name: Arc::from(name),
             failure_domain: Arc::from(domain),
             control,
@@ -120,7 +119,6 @@
     pub fn start_agent(&mut self, name: &str, domain: &str, service: &str, at: Option<&str>) {
         let (control, tunnel) = self.addresses(at.unwrap_or(name));
         let identity = AgentIdentity {
-            admin_port: 0,
             name: Arc::from(name),
             failure_domain: Arc::from(domain),
             service: Arc::from(service),
