feat(io): a span for each hop, and leaving backend servers say goodbye

Requests carry W3C trace context through the agent to the backend server; each hop writes one line under the target arbutus_trace. A backend server set to leave tells its open connections by GOAWAY. A connection is now one type, a request another, and a flow closes when its handle is dropped.

--- a/arbutus-io/src/agent/caller_connection.rs
+++ b/arbutus-io/src/agent/caller_connection.rs
@@ -1,81 +1,113 @@
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use arbutus_core::request::Origin;
-use bytes::{Buf, Bytes, BytesMut};
-use h3::server::{RequestResolver, RequestStream};
-use h3_quinn::RecvStream;
-use http::{Response, StatusCode};
-use tokio::sync::watch;
-use tracing::Instrument;
+use bytes::Bytes;
+use tokio::{sync::watch, time::Instant};
 
-use super::{
-    headers,
-    request_task::{RequestTask, Services},
-    responder::Responder,
-};
+use super::{caller_request, flow_handle::FlowHandle, request_task::Services};
 
-/// Longest body of a request, in bytes.
-const MAX_BODY_BYTES: usize = 1024 * 1024;
 /// How long the peer may take to close a connection whose requests have all ended.
 const CLOSE_GRACE: Duration = Duration::from_secs(3);
 /// How often a stopping connection is asked for late requests.
 const LATE_REQUEST_POLL: Duration = Duration::from_millis(20);
+/// How long a connection without requests stays open after its GOAWAY.
+const IDLE_AFTER_GOAWAY: Duration = Duration::from_secs(30);
 
-type Resolver = RequestResolver<h3_quinn::Connection, Bytes>;
+type H3Connection = h3::server::Connection<h3_quinn::Connection, Bytes>;
 
-/// Serves the requests of one connection until it ends.
-///
-/// When `stopping` turns true, the peer is told by GOAWAY, and what it has sent is still served.
-pub(super) async fn serve(
-    connection: quinn::Connection,
-    origin: Origin,
-    services: Services,
-    mut stopping: watch::Receiver<bool>,
-    on_request: impl Fn(),
-) {
-    let quic = h3_quinn::Connection::new(connection.clone());
-    let mut h3 = match h3::server::builder().build::<_, Bytes>(quic).await {
-        Ok(h3) => h3,
-        Err(err) => {
-            tracing::debug!(%err, "http_setup_failed");
-            return;
-        }
-    };
-    let mut told = false;
-    loop {
-        let accepted = tokio::select! {
-            accepted = h3.accept() => accepted,
-            () = wait_for_stop(&mut stopping), if !told => {
-                told = true;
-                if let Err(err) = h3.shutdown(0).await {
-                    tracing::debug!(%err, "goaway_failed");
-                }
-                continue;
+/// One HTTP/3 connection of a caller, or of a peer that hands requests over.
+pub(super) struct CallerConnection {
+    /// The connection.
+    pub(super) quic: quinn::Connection,
+    /// Who is at the other end.
+    pub(super) origin: Origin,
+    /// What serves its requests.
+    pub(super) services: Services,
+    /// Turns true when the agent stops; false again where that is taken back.
+    pub(super) stopping: watch::Receiver<bool>,
+    /// The caller's flow; `None` for a peer's connection.
+    pub(super) flow: Option<FlowHandle>,
+}
+
+impl CallerConnection {
+    /// Serves requests until the connection ends.
+    ///
+    /// When the agent stops, the peer is told by GOAWAY, and what it has sent is still served.
+    pub(super) async fn serve(mut self) {
+        let quic = h3_quinn::Connection::new(self.quic.clone());
+        let mut h3 = match h3::server::builder().build(quic).await {
+            Ok(h3) => h3,
+            Err(err) => {
+                tracing::debug!(%err, "http_setup_failed");
+                return;
             }
         };
-        match accepted {
-            Ok(Some(resolver)) => {
-                on_request();
-                spawn_request(resolver, origin, &services, connection.clone());
+        // Held by each request, so that its count tells how many are open.
+        let open = Arc::new(());
+        let serving = self.accept_until_stop(&mut h3, &open).await;
+        if serving {
+            self.accept_after_goaway(&mut h3, &open).await;
+        }
+        // Closing at once would cut off what the peer has not acknowledged yet.
+        let _ = tokio::time::timeout(CLOSE_GRACE, self.quic.closed()).await;
+    }
+
+    /// Takes requests; false where the connection has ended, true where the agent stops.
+    async fn accept_until_stop(&mut self, h3: &mut H3Connection, open: &Arc<()>) -> bool {
+        loop {
+            tokio::select! {
+                accepted = h3.accept() => match accepted {
+                    Ok(Some(resolver)) => self.spawn(resolver, open),
+                    Ok(None) => return false,
+                    Err(err) => {
+                        tracing::debug!(%err, "connection_ended");
+                        return false;
+                    }
+                },
+                () = wait_for_stop(&mut self.stopping) => return true,
             }
-            // A request that crosses the GOAWAY has yet to be rejected, so that a stopping
-            // connection is listened to until the peer closes it.
-            Ok(None) if told && !is_closed_within(&connection, LATE_REQUEST_POLL).await => {}
-            Ok(None) => break,
-            Err(err) => {
-                tracing::debug!(%err, "connection_ended");
-                break;
+        }
+    }
+
+    /// Tells the peer to go, and takes what crosses that word until the peer is gone or idle.
+    async fn accept_after_goaway(&mut self, h3: &mut H3Connection, open: &Arc<()>) {
+        if let Err(err) = h3.shutdown(0).await {
+            tracing::debug!(%err, "goaway_failed");
+            return;
+        }
+        let mut idle_since = Instant::now();
+        while self.quic.close_reason().is_none() && idle_since.elapsed() < IDLE_AFTER_GOAWAY {
+            if Arc::strong_count(open) > 1 {
+                idle_since = Instant::now();
+            }
+            match tokio::time::timeout(LATE_REQUEST_POLL, h3.accept()).await {
+                Ok(Ok(Some(resolver))) => self.spawn(resolver, open),
+                // The library says so each time a late request has been rejected.
+                Ok(Ok(None)) => tokio::time::sleep(LATE_REQUEST_POLL).await,
+                Ok(Err(_)) => return,
+                Err(_) => {}
             }
         }
     }
-    // Closing at once would cut off what the peer has not acknowledged yet.
-    let _ = tokio::time::timeout(CLOSE_GRACE, connection.closed()).await;
-}
 
-async fn is_closed_within(connection: &quinn::Connection, time: Duration) -> bool {
-    tokio::time::timeout(time, connection.closed())
-        .await
-        .is_ok()
+    fn spawn(&self, resolver: caller_request::Resolver, open: &Arc<()>) {
+        if let Some(flow) = &self.flow {
+            flow.requested();
+        }
+        let request = caller_request::CallerRequest {
+            origin: self.origin,
+            services: self.services.clone(),
+            connection: self.quic.clone(),
+            flow: self.flow.as_ref().map(FlowHandle::to_string),
+        };
+        let open = open.clone();
+        tokio::spawn(async move {
+            if let Err(err) = request.serve(resolver).await {
+                tracing::debug!(%err, "request_not_read");
+            }
+            drop(open);
+        });
+    }
 }
 
 async fn wait_for_stop(stopping: &mut watch::Receiver<bool>) {
@@ -83,70 +115,3 @@
         std::future::pending::<()>().await;
     }
 }
-
-fn spawn_request(
-    resolver: Resolver,
-    origin: Origin,
-    services: &Services,
-    connection: quinn::Connection,
-) {
-    let services = services.clone();
-    tokio::spawn(async move {
-        if let Err(err) = serve_request(resolver, origin, services, connection).await {
-            tracing::debug!(%err, "request_not_read");
-        }
-    });
-}
-
-async fn serve_request(
-    resolver: Resolver,
-    origin: Origin,
-    services: Services,
-    connection: quinn::Connection,
-) -> Result<(), h3::error::StreamError> {
-    let (req, stream) = resolver.resolve_request().await?;
-    let (parts, ()) = req.into_parts();
-    let trace = parts
-        .headers
-        .get(headers::TRACEPARENT)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default()
-        .to_owned();
-    let span = tracing::info_span!("agent_request", trace, method = %parts.method);
-    let (mut send, mut recv) = stream.split();
-    let Some(body) = read_body(&mut recv).await? else {
-        let mut res = Response::new(());
-        *res.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
-        headers::set_text(res.headers_mut(), headers::OUTCOME, "not-run");
-        send.send_response(res).await?;
-        return send.finish().await;
-    };
-    let head = headers::request_head(&parts, origin);
-    let ticket = services.desk.arrive(head);
-    let responder = Responder::new(send);
-    let task = RequestTask::new(services, ticket, parts, body, responder);
-    let gone = async move {
-        connection.closed().await;
-    };
-    task.run(gone).instrument(span).await;
-    Ok(())
-}
-
-/// Reads a request's body whole; `None` where it is too long.
-async fn read_body(
-    stream: &mut RequestStream<RecvStream, Bytes>,
-) -> Result<Option<Bytes>, h3::error::StreamError> {
-    let mut body = BytesMut::new();
-    while let Some(mut piece) = stream.recv_data().await? {
-        if body.len() + piece.remaining() > MAX_BODY_BYTES {
-            return Ok(None);
-        }
-        while piece.has_remaining() {
-            let chunk = piece.chunk();
-            body.extend_from_slice(chunk);
-            let read = chunk.len();
-            piece.advance(read);
-        }
-    }
-    Ok(Some(body.freeze()))
-}
--- a/arbutus-io/src/agent/caller_endpoint.rs
+++ b/arbutus-io/src/agent/caller_endpoint.rs
@@ -7,10 +7,10 @@
 use tokio::sync::watch;
 
 use super::{
-    agent_error::AgentError, caller_connection, flow_desk::FlowDesk, request_task::Services,
-    tunnel_socket::TunnelSocket,
+    agent_error::AgentError, caller_connection::CallerConnection, flow_desk::FlowDesk,
+    flow_handle::FlowHandle, request_task::Services, tunnel_socket::TunnelSocket,
 };
-use crate::{metrics::AgentMetrics, reset_key};
+use crate::{metrics::AgentMetrics, reset_key, trace::TRACE_TARGET};
 
 const ALPN_HTTP3: &[u8] = b"h3";
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -80,14 +80,12 @@
                 incoming.refuse();
                 continue;
             }
+            let flow = FlowHandle::new(self.desk.clone(), flow);
             match incoming.accept() {
                 Ok(connecting) => {
                     tokio::spawn(self.connection(connecting, flow));
                 }
-                Err(err) => {
-                    tracing::debug!(%err, "incoming_failed");
-                    self.desk.closed(flow);
-                }
+                Err(err) => tracing::debug!(%err, %flow, "incoming_failed"),
             }
         }
     }
@@ -96,40 +94,34 @@
     fn connection(
         &self,
         connecting: quinn::Connecting,
-        flow: FlowKey,
+        flow: FlowHandle,
     ) -> impl Future<Output = ()> + Send + 'static {
-        let desk = self.desk.clone();
         let services = self.services.clone();
         let stopping = self.stopping.clone();
         let metrics = self.metrics.clone();
         async move {
-            let connection = match connecting.await {
-                Ok(connection) => connection,
+            let quic = match connecting.await {
+                Ok(quic) => quic,
                 Err(err) => {
-                    tracing::debug!(%err, "handshake_failed");
-                    desk.closed(flow);
+                    tracing::debug!(%err, %flow, "handshake_failed");
                     return;
                 }
             };
-            desk.opened(flow, connection.clone());
-            let on_request = {
-                let desk = desk.clone();
-                move || desk.requested(flow)
-            };
-            caller_connection::serve(
-                connection.clone(),
-                Origin::Caller,
+            tracing::debug!(target: TRACE_TARGET, hop = "agent", %flow, "flow_opened");
+            flow.opened(quic.clone());
+            let connection = CallerConnection {
+                quic: quic.clone(),
+                origin: Origin::Caller,
                 services,
                 stopping,
-                on_request,
-            )
-            .await;
-            let reason = connection.closed().await;
+                flow: Some(flow),
+            };
+            connection.serve().await;
+            let reason = quic.closed().await;
             if is_broken(&reason) {
                 metrics.broken_flows.inc();
                 tracing::info!(%reason, "flow_broken");
             }
-            desk.closed(flow);
         }
     }
 }
--- a/arbutus-io/src/agent/server.rs
+++ b/arbutus-io/src/agent/server.rs
@@ -2,7 +2,7 @@
 
 use arbutus_core::{
     cid::FlowOwner,
-    config::{Balance, RequestPolicy, Service},
+    config::{Balance, DesiredState, RequestPolicy, Service},
     flow::{self, FlowAdmission, FlowLimits, FlowPolicy, LoadReport},
     ident::{Incarnation, ServiceTag},
     request::{self, AgentIdentity, Origin, RequestMachine},
@@ -15,9 +15,10 @@
 use tokio::{sync::watch, task::JoinHandle};
 
 use super::{
-    AgentError, backend::BackendPool, caller_connection, caller_endpoint::CallerEndpoint,
-    flow_desk::FlowDesk, peer_client::PeerClient, peer_loads::PeerLoads, request_desk::RequestDesk,
-    request_task::Services, tunnel_socket::TunnelSocket,
+    AgentError, backend::BackendPool, caller_connection::CallerConnection,
+    caller_endpoint::CallerEndpoint, flow_desk::FlowDesk, peer_client::PeerClient,
+    peer_loads::PeerLoads, request_desk::RequestDesk, request_task::Services,
+    tunnel_socket::TunnelSocket,
 };
 use crate::{clock, control::ControlEndpoint, metrics::AgentMetrics};
 
@@ -113,6 +114,8 @@
             policy: service.requests.clone(),
             balance: service.balance,
         });
+        let wanted = service.backend_server(&self.name).state;
+        self.set_leaving(wanted == DesiredState::Leave);
     }
 
     /// Takes in the agents of the service.
@@ -144,14 +147,24 @@
             .handle(request::Event::DrainChanged { draining });
     }
 
-    /// Serves the requests that a peer hands over on `connection`.
-    pub(super) fn serve_peer(&self, connection: quinn::Connection) {
-        let services = self.services.clone();
-        let stopping = self.stopping.subscribe();
-        tokio::spawn(async move {
-            let on_request = || {};
-            caller_connection::serve(connection, Origin::Peer, services, stopping, on_request)
-                .await;
+    /// Serves the requests that a peer hands over on `quic`.
+    pub(super) fn serve_peer(&self, quic: quinn::Connection) {
+        let connection = CallerConnection {
+            quic,
+            origin: Origin::Peer,
+            services: self.services.clone(),
+            stopping: self.stopping.subscribe(),
+            flow: None,
+        };
+        tokio::spawn(connection.serve());
+    }
+
+    /// Tells the peers of all connections to go, or no longer tells new ones so.
+    pub(super) fn set_leaving(&self, leaving: bool) {
+        self.stopping.send_if_modified(|stopping| {
+            let changed = *stopping != leaving;
+            *stopping = leaving;
+            changed
         });
     }
 
@@ -163,7 +176,7 @@
     /// Begins a stop and gives a future that ends when nothing is left in hand, or `grace` later.
     pub(super) fn stop(&self, grace: Duration) -> impl Future<Output = ()> + Send + 'static {
         self.flows.handle(flow::Event::Stop);
-        let _ = self.stopping.send(true);
+        self.set_leaving(true);
         let flows = self.flows.clone();
         let requests = self.requests.clone();
         async move {
--- a/arbutus-io/src/balancer/inbound.rs
+++ b/arbutus-io/src/balancer/inbound.rs
@@ -1,6 +1,7 @@
-use std::{io, net::SocketAddrV4, sync::Arc};
+use std::{fmt::Write, io, net::SocketAddrV4, sync::Arc};
 
 use arbutus_core::{
+    quic,
     route::{self, DropReason, Forward, Hop, RouteTable},
     tunnel::{self, TunnelError},
 };
@@ -11,6 +12,7 @@
 use super::DataPath;
 use crate::{
     metrics::ReasonLabel,
+    trace::TRACE_TARGET,
     udp::{BatchReceiver, BatchSender},
 };
 
@@ -124,7 +126,10 @@
     };
     let (hop, counter) = match route::forward(table, &shared.keys, endpoints, payload) {
         Forward::Established(hop) => (hop, &shared.metrics.forwarded),
-        Forward::Opening(hop) => (hop, &shared.metrics.opened),
+        Forward::Opening(hop) => {
+            trace_opening(&hop, payload);
+            (hop, &shared.metrics.opened)
+        }
         Forward::Drop(reason) => {
             drops[reason.index()].inc();
             return;
@@ -135,3 +140,19 @@
         Err(_) => shared.oversized.inc(),
     };
 }
+
+/// Writes the balancer's line of a flow's trace; the flow has the name that the agent's lines use.
+fn trace_opening(hop: &Hop, payload: &[u8]) {
+    if !tracing::enabled!(target: TRACE_TARGET, tracing::Level::DEBUG) {
+        return;
+    }
+    let Ok(shape) = quic::inspect(payload) else {
+        return;
+    };
+    let flow = shape.dcid().iter().fold(String::new(), |mut flow, byte| {
+        let _ = write!(flow, "{byte:02x}");
+        flow
+    });
+    let caller = hop.header.endpoints.source;
+    tracing::debug!(target: TRACE_TARGET, hop = "balancer", %flow, %caller, agent = %hop.to, "span");
+}
--- a/arbutus-io/src/lib.rs
+++ b/arbutus-io/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod shutdown;
 pub mod store;
 pub mod telemetry;
+pub mod trace;
 pub mod udp;
