--- a/arbutus-settings/src/operator/folder.rs
+++ b/arbutus-settings/src/operator/folder.rs
@@ -64,7 +64,7 @@
             Some("jsonc" | "json") => files.push(path),
             Some("md") => {}
             _ => {
-                let place = Place::whole(path.display().to_string().into());
+                let place = Place::whole(shown(&path).into());
                 findings.add(
                     &place,
                     "the name ends in neither .jsonc nor .json, so the file would be left out; \
@@ -77,12 +77,20 @@
     Ok(files)
 }
 
+/// The path as findings show it.
+fn shown(path: &Path) -> String {
+    path.strip_prefix("./")
+        .unwrap_or(path)
+        .display()
+        .to_string()
+}
+
 fn is_hidden(name: &std::ffi::OsStr) -> bool {
     name.as_encoded_bytes().starts_with(b".")
 }
 
 fn parse(path: &Path, findings: &mut Findings) -> Option<Document> {
-    let name = path.display().to_string();
+    let name = shown(path);
     match std::fs::read_to_string(path) {
         Ok(text) => Document::parse(&name, &text, findings),
         Err(error) => {
