--- a/arbutus-bench/src/lib.rs
+++ b/arbutus-bench/src/lib.rs
@@ -1,4 +1,5 @@
 //! Measurements of arbutusstage, each a subcommand of `arbutus-bench`.
 
 pub mod bench_error;
+pub mod membership;
 pub mod policy;
--- a/arbutus-bench/src/main.rs
+++ b/arbutus-bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use arbutus_bench::{bench_error::BenchError, policy};
+use arbutus_bench::{bench_error::BenchError, membership, policy};
 use error_stack::{Report, ResultExt};
 use lexopt::{Arg, Parser};
 
@@ -10,7 +10,8 @@
 Usage: arbutus-bench MEASUREMENT [OPTIONS]
 
 Measurements:
-  policy    how new flows are spread over backend servers
+  membership  who is there and which configuration is in force, among many nodes
+  policy      how new flows are spread over backend servers
 
 Options:
   -h, --help       print this page, or that of a measurement
@@ -38,6 +39,7 @@
             println!("arbutus-bench {}", env!("CARGO_PKG_VERSION"));
         }
         Some(Arg::Value(name)) => match name.to_str() {
+            Some("membership") => return membership::run(parser),
             Some("policy") => return policy::run(parser),
             _ => return Err(Report::new(BenchError::Usage).attach("no such measurement")),
         },
--- /dev/null
+++ b/arbutus-bench/src/membership/measure.rs
@@ -0,0 +1,369 @@
+//! The course of the measurement.
+
+use std::time::{Duration, Instant};
+
+use arbutus_core::{config::ConfigVersion, ident::ServiceTag, time::Timestamp};
+use rand::Rng;
+
+use super::{
+    fleet::{Fleet, Machine},
+    fleet_plan::{self, DOMAINS},
+    full_size,
+    meter::Meter,
+    options::{Options, Part},
+    report::Findings,
+};
+
+/// Step in which waiting for something looks again.
+const STEP: Duration = Duration::from_millis(20);
+/// Longest wait for anything.
+const LIMIT: Duration = Duration::from_secs(120);
+const STEADY_S: u64 = 20;
+
+pub(super) fn run(options: &Options) -> Findings {
+    let mut findings = Findings::default();
+    if options.part != Part::Fleet {
+        full_size::run(&mut findings);
+    }
+    if options.part != Part::FullSize {
+        run_fleet(options, &mut findings);
+    }
+    findings
+}
+
+fn run_fleet(options: &Options, findings: &mut Findings) {
+    findings.add("balancers", options.balancers);
+    findings.add("agents", options.agents);
+    findings.add("services", options.services);
+    findings.add("seed", options.seed);
+    findings.add("loss_per_mille", options.loss_per_mille);
+    let begin = Instant::now();
+    let mut fleet = Fleet::new(options);
+    start(&mut fleet, findings);
+    steady(&mut fleet, findings);
+    agent_deaths(&mut fleet, findings);
+    config_changes(&mut fleet, findings);
+    churn(&mut fleet, findings);
+    join(&mut fleet, findings);
+    rack(&mut fleet, findings);
+    domain(&mut fleet, findings);
+    parted_region(&mut fleet, options.parted_s, findings);
+    let violations: u64 = fleet
+        .balancers()
+        .map(|(_, it)| it.invariant_violations())
+        .sum();
+    findings.add("invariant_violations", violations);
+    findings.add("wall_s", begin.elapsed().as_secs());
+}
+
+/// All start at once, with empty rosters.
+fn start(fleet: &mut Fleet, findings: &mut Findings) {
+    let mut meter = Meter::new(fleet);
+    let seconds = wait_seconds(fleet, &mut meter, |fleet| {
+        is_converged(fleet) && has_config(fleet)
+    });
+    findings.add("start.converged_s", seconds);
+    findings.add("start.peak_bytes_per_s", meter.peak_bytes);
+    findings.add("start.over_budget_s", meter.over_budget_s);
+    findings.add("start.store_calls", fleet.store.calls);
+    // Homes and links settle.
+    fleet.run(Duration::from_secs(20));
+}
+
+fn steady(fleet: &mut Fleet, findings: &mut Findings) {
+    let (calls, time) = (fleet.store.calls, fleet.balancer_time);
+    let mut meter = Meter::new(fleet);
+    for _ in 0..STEADY_S {
+        meter.run_second(fleet);
+    }
+    add_traffic(fleet, &meter, "steady", findings);
+    let count = fleet.balancers().count();
+    let share = u32::try_from(count).unwrap_or(1) * u32::try_from(STEADY_S).unwrap_or(1);
+    let busy = fleet.balancer_time.saturating_sub(time) / share;
+    findings.add(
+        "steady.cpu_percent",
+        format!("{:.3}", busy.as_secs_f64() * 100.0),
+    );
+    findings.add("steady.store_watches", fleet.store.watches());
+    findings.add("steady.store_calls", fleet.store.calls - calls);
+    let links: usize = fleet.balancers().map(|(_, it)| it.links().count()).sum();
+    let watched: usize = fleet.balancers().map(|(_, it)| it.watched_agents()).sum();
+    findings.add("steady.links_of_a_balancer", links / count);
+    findings.add("steady.watched_agents_of_a_balancer", watched / count);
+}
+
+fn add_traffic(fleet: &Fleet, meter: &Meter, name: &str, findings: &mut Findings) {
+    let mean = meter.mean();
+    findings.add(&format!("{name}.bytes_per_s"), mean.bytes);
+    findings.add(&format!("{name}.messages_per_s"), mean.messages);
+    findings.add(&format!("{name}.peak_bytes_per_s"), meter.peak_bytes);
+    findings.add(&format!("{name}.over_budget_s"), meter.over_budget_s);
+    for (class, bytes) in meter.by_class(fleet) {
+        findings.add(&format!("{name}.payload_bytes_per_s.{class}"), bytes);
+    }
+}
+
+/// Single agents die; how long until no balancer has them as candidates.
+fn agent_deaths(fleet: &mut Fleet, findings: &mut Findings) {
+    let mut longest = Duration::ZERO;
+    for _ in 0..5 {
+        let victim = any_agent(fleet);
+        fleet.kill(victim);
+        let waited = wait(fleet, |fleet| is_nowhere_candidate(fleet, victim));
+        longest = longest.max(waited);
+    }
+    findings.add("agent_death.nowhere_candidate_ms", longest.as_millis());
+}
+
+fn config_changes(fleet: &mut Fleet, findings: &mut Findings) {
+    let mut longest = Duration::ZERO;
+    for _ in 0..5 {
+        fleet.apply();
+        longest = longest.max(wait(fleet, has_config));
+        fleet.run(Duration::from_millis(700));
+    }
+    findings.add("config.in_force_ms", longest.as_millis());
+    fleet.run(Duration::from_secs(2));
+    fleet.apply();
+    fleet.store.answers_one = true;
+    fleet.run(Duration::from_millis(5));
+    let waited = wait(fleet, has_config);
+    findings.add("config.in_force_by_one_reader_ms", waited.as_millis());
+    let waited = waited + wait(fleet, agents_have_config);
+    findings.add("config.known_to_agents_ms", waited.as_millis());
+    fleet.store.answers_one = false;
+    // All but one of the nodes that read the change die at once.
+    fleet.apply();
+    fleet.run(Duration::from_millis(6));
+    let version = fleet.store.snapshot.version;
+    let holders: Vec<usize> = fleet
+        .balancers()
+        .filter(|(_, it)| it.config().version == version && it.is_reader())
+        .map(|(number, _)| number)
+        .collect();
+    for number in holders.iter().skip(1) {
+        fleet.kill(*number);
+    }
+    findings.add("config.readers_killed", holders.len().saturating_sub(1));
+    let waited = wait(fleet, has_config);
+    findings.add("config.in_force_after_readers_died_ms", waited.as_millis());
+    fleet.run(Duration::from_secs(10));
+}
+
+/// Members are replaced and configurations applied, many times faster than on an ordinary day.
+fn churn(fleet: &mut Fleet, findings: &mut Findings) {
+    const REPLACED: u64 = 40;
+    const APPLIED: u64 = 20;
+    let mut idle = Meter::new(fleet);
+    for _ in 0..10 {
+        idle.run_second(fleet);
+    }
+    let mut meter = Meter::new(fleet);
+    let time = fleet.balancer_time;
+    for index in 0..REPLACED {
+        let is_balancer = index % 6 == 0;
+        replace(fleet, is_balancer);
+        if index % (REPLACED / APPLIED) == 0 {
+            fleet.apply();
+        }
+        meter.run_second(fleet);
+    }
+    let extra = meter.mean().bytes.saturating_sub(idle.mean().bytes) * REPLACED;
+    add_traffic(fleet, &meter, "churn", findings);
+    findings.add("churn.replaced_per_s", 1);
+    findings.add("churn.applied_per_s", "0.5");
+    findings.add(
+        "churn.bytes_of_a_balancer_per_replacement",
+        extra / REPLACED,
+    );
+    let count = u32::try_from(fleet.balancers().count()).unwrap_or(1);
+    let busy =
+        fleet.balancer_time.saturating_sub(time) / (count * u32::try_from(REPLACED).unwrap_or(1));
+    findings.add(
+        "churn.cpu_percent",
+        format!("{:.3}", busy.as_secs_f64() * 100.0),
+    );
+    let waited = wait(fleet, is_converged);
+    findings.add("churn.converged_after_ms", waited.as_millis());
+}
+
+/// A new balancer joins a fleet that is running.
+fn join(fleet: &mut Fleet, findings: &mut Findings) {
+    let peers = fleet.running_controls();
+    let number = fleet.add_balancer(0, &peers);
+    let mut meter = Meter::new(fleet);
+    let seconds = wait_seconds(fleet, &mut meter, |fleet| {
+        is_converged(fleet) && has_config(fleet)
+    });
+    findings.add("join.converged_s", seconds);
+    findings.add("join.peak_bytes_per_s", meter.peak_bytes);
+    findings.add("join.over_budget_s", meter.over_budget_s);
+    if let Machine::Balancer(balancer) = &fleet.members[number].machine {
+        findings.add("join.bytes", balancer.traffic().total().bytes);
+    }
+}
+
+/// One in a hundred members of a failure domain die at once.
+fn rack(fleet: &mut Fleet, findings: &mut Findings) {
+    let victims: Vec<usize> = running(fleet)
+        .filter(|number| fleet.members[*number].domain == 0)
+        .step_by(100)
+        .collect();
+    findings.add("rack.members", victims.len());
+    kill_all(fleet, &victims, "rack", findings);
+}
+
+/// A whole failure domain dies at once.
+fn domain(fleet: &mut Fleet, findings: &mut Findings) {
+    let victims: Vec<usize> = running(fleet)
+        .filter(|number| fleet.members[*number].domain == DOMAINS - 1)
+        .collect();
+    findings.add("domain.members", victims.len());
+    kill_all(fleet, &victims, "domain", findings);
+}
+
+fn kill_all(fleet: &mut Fleet, victims: &[usize], name: &str, findings: &mut Findings) {
+    let agents: Vec<usize> = victims
+        .iter()
+        .copied()
+        .filter(|it| matches!(fleet.members[*it].machine, Machine::Agent(_)))
+        .collect();
+    for number in victims {
+        fleet.kill(*number);
+    }
+    let mut meter = Meter::new(fleet);
+    let seconds = wait_seconds(fleet, &mut meter, |fleet| {
+        agents.iter().all(|it| is_nowhere_candidate(fleet, *it))
+    });
+    findings.add(&format!("{name}.nowhere_candidates_s"), seconds);
+    let converged = seconds + wait_seconds(fleet, &mut meter, is_converged);
+    findings.add(&format!("{name}.converged_s"), converged);
+    for _ in converged..15 {
+        meter.run_second(fleet);
+    }
+    findings.add(&format!("{name}.peak_bytes_per_s"), meter.peak_bytes);
+    findings.add(&format!("{name}.over_budget_s"), meter.over_budget_s);
+}
+
+/// A region is parted from the others, members are replaced on both sides, and it joins again.
+fn parted_region(fleet: &mut Fleet, parted_s: u64, findings: &mut Findings) {
+    const REGION: usize = 1;
+    fleet.network.parted_region = Some(REGION);
+    let mut meter = Meter::new(fleet);
+    for second in 0..parted_s {
+        if second % 10 == 0 {
+            replace(fleet, second % 60 == 0);
+        }
+        meter.run_second(fleet);
+    }
+    add_traffic(fleet, &meter, "parted", findings);
+    fleet.network.parted_region = None;
+    let mut meter = Meter::new(fleet);
+    let usable = wait_seconds(fleet, &mut meter, all_are_candidates);
+    findings.add("rejoined.all_candidates_s", usable);
+    let converged = usable + wait_seconds(fleet, &mut meter, is_converged);
+    findings.add("rejoined.converged_s", converged);
+    for _ in converged..20 {
+        meter.run_second(fleet);
+    }
+    add_traffic(fleet, &meter, "rejoined", findings);
+}
+
+/// Kills a member and starts another one in the same failure domain.
+fn replace(fleet: &mut Fleet, is_balancer: bool) {
+    let candidates: Vec<usize> = if is_balancer {
+        fleet.balancers().map(|(number, _)| number).collect()
+    } else {
+        fleet.agents().map(|(number, _)| number).collect()
+    };
+    let victim = candidates[fleet.rng.random_range(0..candidates.len())];
+    let (domain, service) = (fleet.members[victim].domain, fleet.members[victim].service);
+    fleet.kill(victim);
+    let peers = fleet.running_controls();
+    if is_balancer {
+        fleet.add_balancer(domain, &peers);
+    } else {
+        fleet.add_agent(domain, service, &peers);
+    }
+}
+
+fn any_agent(fleet: &mut Fleet) -> usize {
+    let agents: Vec<usize> = fleet.agents().map(|(number, _)| number).collect();
+    agents[fleet.rng.random_range(0..agents.len())]
+}
+
+fn running(fleet: &Fleet) -> impl Iterator<Item = usize> {
+    let members = fleet.members.iter().enumerate();
+    members
+        .filter(|(_, member)| !matches!(member.machine, Machine::Dead))
+        .map(|(number, _)| number)
+}
+
+/// Whether all balancers hold the same records.
+fn is_converged(fleet: &Fleet) -> bool {
+    let mut roots = fleet.balancers().map(|(_, it)| it.roster().root());
+    let first = roots.next();
+    let is_same = roots.all(|root| Some(root) == first);
+    let agents = fleet.agents().count();
+    let holds_all = |(_, it): (usize, &arbutus_core::membership::BalancerNode)| {
+        it.roster().agent_count() >= agents
+    };
+    is_same && fleet.balancers().all(holds_all)
+}
+
+fn has_config(fleet: &Fleet) -> bool {
+    let version: ConfigVersion = fleet.store.snapshot.version;
+    fleet
+        .balancers()
+        .all(|(_, it)| it.config().version == version)
+}
+
+fn agents_have_config(fleet: &Fleet) -> bool {
+    let version = fleet.store.snapshot.version;
+    fleet.agents().all(|(_, it)| it.config_version() == version)
+}
+
+fn is_nowhere_candidate(fleet: &Fleet, victim: usize) -> bool {
+    let tag = tag_of(fleet, victim);
+    let control = fleet_plan::control(victim);
+    fleet.balancers().all(|(_, it)| {
+        it.roster()
+            .candidates(tag)
+            .all(|agent| agent.control != control)
+    })
+}
+
+/// Whether each balancer has as many candidates as there are agents.
+fn all_are_candidates(fleet: &Fleet) -> bool {
+    let agents = fleet.agents().count();
+    fleet.balancers().all(|(_, balancer)| {
+        let tags = (0..fleet.services).map(|it| ServiceTag::of_name(&fleet_plan::service_name(it)));
+        let candidates: usize = tags
+            .map(|tag| balancer.roster().candidates(tag).count())
+            .sum();
+        candidates == agents
+    })
+}
+
+fn tag_of(fleet: &Fleet, agent: usize) -> ServiceTag {
+    ServiceTag::of_name(&fleet_plan::service_name(fleet.members[agent].service))
+}
+
+/// Runs until `done`; tells how long it took.
+fn wait(fleet: &mut Fleet, done: impl Fn(&Fleet) -> bool) -> Duration {
+    let begin: Timestamp = fleet.now;
+    while !done(fleet) && fleet.now.since(begin) < LIMIT {
+        fleet.run(STEP);
+    }
+    fleet.now.since(begin)
+}
+
+/// Runs until `done`, second by second with the meter; tells the seconds.
+fn wait_seconds(fleet: &mut Fleet, meter: &mut Meter, done: impl Fn(&Fleet) -> bool) -> u64 {
+    let mut seconds = 0;
+    while !done(fleet) && seconds < LIMIT.as_secs() {
+        meter.run_second(fleet);
+        seconds += 1;
+    }
+    seconds
+}
--- a/arbutus-core/src/membership.rs
+++ b/arbutus-core/src/membership.rs
@@ -97,6 +97,7 @@
 mod balancer_event;
 mod balancer_identity;
 mod balancer_node;
+mod greeting;
 mod heartbeat;
 mod heartbeat_ack;
 mod home_list;
--- a/arbutus-core/src/membership/balancer_node/configs.rs
+++ b/arbutus-core/src/membership/balancer_node/configs.rs
@@ -101,7 +101,11 @@
             let to = link.control;
             link.config_offered = own;
             link.config_offered_at = now;
-            let page = self.book.page(ConfigPull { since, after: None });
+            let page = self.book.page(ConfigPull {
+                since,
+                after: None,
+                whole: false,
+            });
             if page.more {
                 self.send_keepalive(to, LinkIntent::Link);
             } else {
--- a/arbutus-core/src/membership/balancer_node/links.rs
+++ b/arbutus-core/src/membership/balancer_node/links.rs
@@ -6,7 +6,7 @@
 
 use super::BalancerNode;
 use crate::{
-    membership::{Keepalive, LinkIntent, Message, link::Link},
+    membership::{Keepalive, LinkIntent, Message, greeting::Greeting, link::Link},
     roster::{AgentState, BalancerRecord, MemberKey, Update},
     time::Timestamp,
 };
@@ -29,6 +29,7 @@
         if keepalive.record.control != from {
             return;
         }
+        self.overlay.greeted.swap_remove(&from);
         self.merge_peer(keepalive.record.clone(), now);
         if let Some(rank) = keepalive.about_you {
             self.refute(rank, now);
@@ -118,7 +119,7 @@
         for link in self.overlay.links.values_mut() {
             let silence = now.since(link.last_heard);
             if silence >= suspect_after {
-                lost.push((link.control, link.failure_domain.clone()));
+                lost.push(link.control);
             } else if silence >= suspect_after / 2
                 && now.since(link.last_greeting) >= suspect_after / 6
             {
@@ -129,12 +130,9 @@
         for control in quiet {
             self.send_keepalive(control, LinkIntent::Greet);
         }
-        for (control, domain) in lost {
+        for control in lost {
             self.overlay.links.shift_remove(&control);
-            if !self.roster.is_silent(&domain) {
-                self.suspected.insert(domain, now);
-                self.suspect(&MemberKey::Balancer(control), now);
-            }
+            self.suspect_balancer(control, now);
         }
     }
 
@@ -233,22 +231,23 @@
         let factor = self.rng.random_range(0.75..1.25);
         self.next_reconnect = now + pause.mul_f64(factor);
         if is_lonely {
-            self.greet_peers();
-        } else {
-            self.greet_lost();
+            self.greet_peers(now);
         }
+        self.greet_others(now);
     }
 
-    fn greet_peers(&mut self) {
+    fn greet_peers(&mut self, now: Timestamp) {
         let mut peers = self.peers.clone();
         for _ in 0..Self::GREETINGS.min(peers.len()) {
             let index = self.rng.random_range(0..peers.len());
             let peer = peers.swap_remove(index);
-            self.greet(peer);
+            self.greet(peer, now);
         }
     }
 
-    fn greet_lost(&mut self) {
+    /// Greets one balancer that was lost, one that is not known yet, and any one, so that none
+    /// dies unnoticed.
+    fn greet_others(&mut self, now: Timestamp) {
         let count = self.roster.balancers().count();
         let start = self.rng.random_range(0..count.max(1));
         let is_lost = |it: &&BalancerRecord| {
@@ -265,17 +264,51 @@
             .iter()
             .find(|peer| self.roster.balancer(**peer).is_none())
             .copied();
-        let wanted = [lost, unknown, other.filter(|_| lost.is_none())];
-        for control in wanted.into_iter().flatten() {
-            self.greet(control);
+        for control in [lost, unknown, other].into_iter().flatten() {
+            self.greet(control, now);
         }
     }
 
-    fn greet(&mut self, control: SocketAddrV4) {
+    fn greet(&mut self, control: SocketAddrV4, now: Timestamp) {
         let is_linked = self.overlay.links.contains_key(&control);
         if control != self.record.control && !is_linked {
+            self.overlay.greeted.insert(control, Greeting::new(now));
+            self.send_keepalive(control, LinkIntent::Greet);
+        }
+    }
+
+    /// Repeats greetings that were not answered, and suspects who answers none.
+    pub(super) fn scan_greetings(&mut self, now: Timestamp) {
+        let limit = self.settings.balancer_suspect;
+        let (mut again, mut lost) = (Vec::new(), Vec::new());
+        self.overlay.greeted.retain(|control, greeting| {
+            if now.since(greeting.begun) >= limit {
+                lost.push(*control);
+                return false;
+            }
+            if now.since(greeting.last) >= limit / 4 {
+                greeting.last = now;
+                again.push(*control);
+            }
+            true
+        });
+        for control in again {
             self.send_keepalive(control, LinkIntent::Greet);
         }
+        for control in lost {
+            self.suspect_balancer(control, now);
+        }
+    }
+
+    fn suspect_balancer(&mut self, control: SocketAddrV4, now: Timestamp) {
+        let Some(record) = self.roster.balancer(control) else {
+            return;
+        };
+        let domain = record.failure_domain.clone();
+        if record.state.is_live() && !self.roster.is_silent(&domain) {
+            self.suspected.insert(domain, now);
+            self.suspect(&MemberKey::Balancer(control), now);
+        }
     }
 
     pub(super) fn send_keepalives(&mut self, now: Timestamp) {
--- a/arbutus-core/src/membership/balancer_node/node.rs
+++ b/arbutus-core/src/membership/balancer_node/node.rs
@@ -213,6 +213,7 @@
         self.is_joining &= now < self.joined_by;
         self.scan_agents(now);
         self.scan_links(now);
+        self.scan_greetings(now);
         self.judge_domains(now);
         self.renew_homes(now);
         self.open_links(now);
--- a/arbutus-core/src/membership/balancer_node/repairs.rs
+++ b/arbutus-core/src/membership/balancer_node/repairs.rs
@@ -7,7 +7,7 @@
 use super::BalancerNode;
 use crate::{
     membership::{Message, RepairLeaves, RepairListing},
-    roster::{DigestTree, LeafId, ListedMember},
+    roster::{DigestTree, LeafId, LeafSet, ListedMember},
     time::Timestamp,
 };
 
@@ -62,7 +62,7 @@
     pub(super) fn on_repair_leaves(&mut self, from: SocketAddrV4, theirs: &RepairLeaves) {
         let ours = self.roster.digests().leaves_of(theirs.branch);
         let first = theirs.branch.saturating_mul(DigestTree::FANOUT);
-        let differing: BTreeSet<LeafId> = ours
+        let differing: LeafSet = ours
             .iter()
             .zip(&theirs.digests)
             .zip(first..)
@@ -73,7 +73,7 @@
             return;
         }
         let listing = RepairListing {
-            leaves: differing.iter().map(|leaf| leaf.get()).collect(),
+            leaves: differing.iter().map(LeafId::get).collect(),
             members: self.roster.list(&differing),
         };
         self.send(from, &Message::RepairListing(listing));
@@ -85,7 +85,7 @@
         theirs: &RepairListing,
         now: Timestamp,
     ) {
-        let leaves: BTreeSet<LeafId> = theirs
+        let leaves: LeafSet = theirs
             .leaves
             .iter()
             .filter_map(|number| LeafId::new(*number))
--- a/arbutus-core/src/membership/overlay.rs
+++ b/arbutus-core/src/membership/overlay.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::link::Link;
+use super::{greeting::Greeting, link::Link};
 use crate::{roster::MemberKey, time::Timestamp};
 
 /// The links of a balancer to a few others, over which everything spreads.
@@ -10,6 +10,8 @@
 pub(super) struct Overlay {
     /// By control address; never above the limit of the settings by links opened by others.
     pub links: IndexMap<SocketAddrV4, Link>,
+    /// Greetings of other balancers that are not answered yet.
+    pub greeted: IndexMap<SocketAddrV4, Greeting>,
     /// Balancers that declined a link, and until when they are left alone.
     declined: IndexMap<SocketAddrV4, Timestamp>,
 }
@@ -45,6 +47,7 @@
         for link in self.links.values_mut() {
             link.last_heard = now;
         }
+        self.greeted.clear();
     }
 
     pub fn on_decline(&mut self, control: SocketAddrV4, now: Timestamp) {
--- /dev/null
+++ b/arbutus-core/src/roster/leaf_set.rs
@@ -0,0 +1,43 @@
+use super::{DigestTree, LeafId};
+
+/// Some leaves of a [`DigestTree`].
+#[derive(Debug, Clone)]
+pub struct LeafSet {
+    /// One bit for each leaf.
+    bits: [u64; Self::WORDS],
+}
+
+impl LeafSet {
+    const WORDS: usize = (DigestTree::LEAVES / 64) as usize;
+
+    /// Whether the leaf is one of them.
+    #[must_use]
+    pub const fn contains(&self, leaf: LeafId) -> bool {
+        let number = leaf.get();
+        self.bits[(number / 64) as usize] >> (number % 64) & 1 == 1
+    }
+
+    /// Whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.bits.iter().all(|word| *word == 0)
+    }
+
+    /// The leaves in the order of their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = LeafId> {
+        (0..DigestTree::LEAVES)
+            .filter_map(LeafId::new)
+            .filter(|leaf| self.contains(*leaf))
+    }
+}
+
+impl FromIterator<LeafId> for LeafSet {
+    fn from_iter<I: IntoIterator<Item = LeafId>>(iter: I) -> Self {
+        let mut bits = [0; Self::WORDS];
+        for leaf in iter {
+            let number = leaf.get();
+            bits[usize::from(number / 64)] |= 1 << (number % 64);
+        }
+        Self { bits }
+    }
+}
--- a/arbutus-core/src/roster/roster_repair.rs
+++ b/arbutus-core/src/roster/roster_repair.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{LeafId, MemberKey, Roster, Update, roster_table};
+use super::{LeafId, LeafSet, MemberKey, Roster, Update, roster_table};
 use crate::time::Timestamp;
 
 /// A record in short, as nodes list them to one another.
@@ -19,27 +19,19 @@
 impl Roster {
     /// The records of the leaves in short, in the order of their digests.
     #[must_use]
-    pub fn list(&self, leaves: &BTreeSet<LeafId>) -> Vec<ListedMember> {
-        let mut listed: Vec<ListedMember> = self
-            .digested()
-            .filter(|(key, _)| leaves.contains(&LeafId::of(key.digest())))
-            .map(|(key, record)| listed(&key, record))
-            .collect();
+    pub fn list(&self, leaves: &LeafSet) -> Vec<ListedMember> {
+        let mut listed: Vec<ListedMember> =
+            self.digested(leaves).map(|(_, listed)| listed).collect();
         listed.sort_unstable();
         listed
     }
 
     /// The members of the leaves that are not in `theirs` as they are here.
     #[must_use]
-    pub fn missing_from(
-        &self,
-        leaves: &BTreeSet<LeafId>,
-        theirs: &[ListedMember],
-    ) -> Vec<MemberKey> {
+    pub fn missing_from(&self, leaves: &LeafSet, theirs: &[ListedMember]) -> Vec<MemberKey> {
         let theirs: BTreeSet<ListedMember> = theirs.iter().copied().collect();
-        self.digested()
-            .filter(|(key, _)| leaves.contains(&LeafId::of(key.digest())))
-            .filter(|(key, record)| !theirs.contains(&listed(key, *record)))
+        self.digested(leaves)
+            .filter(|(_, listed)| !theirs.contains(listed))
             .map(|(key, _)| key)
             .collect()
     }
@@ -47,10 +39,12 @@
     /// The members with these short key digests.
     #[must_use]
     pub fn members_of(&self, keys: &[u32]) -> Vec<MemberKey> {
+        let leaves = keys.iter().map(|key| LeafId::of(u64::from(*key) << 32));
+        let leaves = leaves.collect();
         let keys: BTreeSet<u32> = keys.iter().copied().collect();
-        self.digested()
+        self.digested(&leaves)
+            .filter(|(_, listed)| keys.contains(&listed.key))
             .map(|(key, _)| key)
-            .filter(|key| keys.contains(&short(key.digest())))
             .collect()
     }
 
@@ -96,33 +90,39 @@
         }
     }
 
-    /// Keys and record digests of all that counts in the digests.
-    fn digested(&self) -> impl Iterator<Item = (MemberKey, u64)> {
+    /// All that counts in the digests of the leaves.
+    fn digested<'a>(
+        &'a self,
+        leaves: &'a LeafSet,
+    ) -> impl Iterator<Item = (MemberKey, ListedMember)> + 'a {
         let agents = self.agents.iter().filter(|(_, it)| it.in_digests);
-        let agents = agents.map(|(tunnel, entry)| {
-            let key = MemberKey::Agent(*tunnel);
-            let digest = roster_table::record_digest(key.digest(), entry.record.rank());
-            (key, digest)
-        });
+        let agents = agents.map(|(tunnel, _)| MemberKey::Agent(*tunnel));
         let balancers = self.balancers.iter().filter(|(_, it)| it.in_digests);
-        let balancers = balancers.map(|(control, entry)| {
-            let key = MemberKey::Balancer(*control);
-            let digest = roster_table::record_digest(key.digest(), entry.record.rank());
-            (key, digest)
-        });
-        let domains = self.domains.iter().map(|(name, entry)| {
-            let key = MemberKey::Domain(name.clone());
-            let digest = roster_table::notice_digest(key.digest(), &entry.record);
-            (key, digest)
-        });
-        agents.chain(balancers).chain(domains)
+        let balancers = balancers.map(|(control, _)| MemberKey::Balancer(*control));
+        let domains = self.domains.keys();
+        let domains = domains.map(|name| MemberKey::Domain(name.clone()));
+        agents
+            .chain(balancers)
+            .chain(domains)
+            .map(|key| (key.digest(), key))
+            .filter(|(digest, _)| leaves.contains(LeafId::of(*digest)))
+            .filter_map(|(digest, key)| {
+                let record = self.record_digest(&key, digest)?;
+                let listed = ListedMember {
+                    key: short(digest),
+                    record: short(record),
+                };
+                Some((key, listed))
+            })
     }
-}
 
-fn listed(key: &MemberKey, record: u64) -> ListedMember {
-    ListedMember {
-        key: short(key.digest()),
-        record: short(record),
+    fn record_digest(&self, key: &MemberKey, key_digest: u64) -> Option<u64> {
+        if let MemberKey::Domain(name) = key {
+            let notice = &self.domains.get(name)?.record;
+            return Some(roster_table::notice_digest(key_digest, notice));
+        }
+        let rank = self.rank(key)?;
+        Some(roster_table::record_digest(key_digest, rank))
     }
 }
 
--- a/arbutus-core/src/spread.rs
+++ b/arbutus-core/src/spread.rs
@@ -1,6 +1,7 @@
 //! How a configuration spreads: versions by service, pages of what changed, reads of the store.
 
 mod config_book;
+mod config_digest;
 mod config_page;
 mod page_outcome;
 mod staging;
--- a/arbutus-core/src/spread/config_book.rs
+++ b/arbutus-core/src/spread/config_book.rs
@@ -1,8 +1,13 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use indexmap::IndexMap;
 
-use super::{ConfigPage, ConfigPull, PageOutcome, VersionedService, staging::Staging};
+use super::{
+    ConfigPage, ConfigPull, PageOutcome, VersionedService, config_digest, staging::Staging,
+};
 use crate::{
     config::{ConfigVersion, Service, Snapshot},
     ident::ServiceTag,
@@ -18,6 +23,11 @@
     /// When services were removed, as far back as `removals_after`.
     removals: IndexMap<ServiceTag, ConfigVersion>,
     removals_after: ConfigVersion,
+    /// The exclusive or over the services of `snapshot`.
+    digest: u64,
+    /// Whether changes did not add up to the sender's configuration, so that all of it is asked
+    /// for.
+    needs_whole: bool,
     staging: Option<Staging>,
     invariant_violations: u64,
 }
@@ -97,7 +107,7 @@
     /// The first or a further page of what has changed after `pull.since`.
     #[must_use]
     pub fn page(&self, pull: ConfigPull) -> ConfigPage {
-        let reset = pull.since < self.removals_after;
+        let reset = pull.whole || pull.since < self.removals_after;
         let since = if reset {
             ConfigVersion::NONE
         } else {
@@ -126,6 +136,7 @@
             since: pull.since,
             after: pull.after,
             to: self.version(),
+            digest: self.digest,
             reset,
             services,
             removed: self.removed_after(pull),
@@ -140,14 +151,17 @@
             Some(staging) if staging.complete => ConfigPull {
                 since: staging.first_to,
                 after: None,
+                whole: false,
             },
             Some(staging) => ConfigPull {
                 since: staging.since,
                 after: staging.after,
+                whole: staging.reset,
             },
             None => ConfigPull {
                 since: self.version(),
                 after: None,
+                whole: self.needs_whole,
             },
         }
     }
@@ -163,8 +177,7 @@
             Some(staging) if staging.continues_with(&page) => self.extend(staging, page),
             staging if page.since <= self.version() && page.after.is_none() => {
                 if is_whole {
-                    self.apply(page);
-                    return PageOutcome::Adopted;
+                    return self.apply(page);
                 }
                 let is_further = staging.is_some();
                 self.staging = staging.or_else(|| Some(Staging::new(page)));
@@ -211,24 +224,59 @@
             since: staging.since,
             after: None,
             to: page.to,
+            digest: page.digest,
             reset: staging.reset,
             services: services.into_values().collect(),
             removed,
             more: false,
-        });
-        PageOutcome::Adopted
+        })
     }
 
-    fn apply(&mut self, page: ConfigPage) {
+    /// Puts the page's configuration in force, if its digest is the sender's.
+    ///
+    /// It may not be, where one of the two has skipped versions in which a service changed and
+    /// changed back.
+    fn apply(&mut self, page: ConfigPage) -> PageOutcome {
         let mut removed = page.removed;
         if page.reset {
-            let named: std::collections::BTreeSet<ServiceTag> =
+            let named: BTreeSet<ServiceTag> =
                 page.services.iter().map(|it| it.service.tag()).collect();
             let unnamed = self.versions.keys().filter(|tag| !named.contains(tag));
             removed.extend(unnamed.copied());
+        }
+        let digest = self.digest_after(&page.services, &removed);
+        if digest != page.digest {
+            return self.ask_whole();
+        }
+        if page.reset {
             self.removals_after = page.to;
         }
         self.change(page.to, page.services, &removed);
+        PageOutcome::Adopted
+    }
+
+    /// Asks for all services, once; who puts this off asks again by [`pull`](Self::pull).
+    fn ask_whole(&mut self) -> PageOutcome {
+        if std::mem::replace(&mut self.needs_whole, true) {
+            return PageOutcome::Known;
+        }
+        PageOutcome::Ask(self.pull())
+    }
+
+    /// The digest of the configuration after a change.
+    fn digest_after(&self, changed: &[VersionedService], removed: &[ServiceTag]) -> u64 {
+        let mut digest = self.digest;
+        let changed_tags = changed.iter().map(|it| it.service.tag());
+        let touched: BTreeSet<ServiceTag> = removed.iter().copied().chain(changed_tags).collect();
+        for tag in touched {
+            if let Some(service) = self.snapshot.services.get(&tag) {
+                digest ^= config_digest::of_service(service);
+            }
+        }
+        for it in changed {
+            digest ^= config_digest::of_service(&it.service);
+        }
+        digest
     }
 
     /// Puts the next version in force.
@@ -243,6 +291,8 @@
             return;
         }
         self.staging = None;
+        self.needs_whole = false;
+        self.digest = self.digest_after(&changed, removed);
         let mut services = self.snapshot.services.clone();
         for tag in removed {
             services.swap_remove(tag);
--- a/arbutus-core/src/spread/config_page.rs
+++ b/arbutus-core/src/spread/config_page.rs
@@ -10,6 +10,8 @@
     pub since: ConfigVersion,
     /// The last tag of the page before, or nothing for the first page.
     pub after: Option<ServiceTag>,
+    /// Whether all services are wanted, changed or not.
+    pub whole: bool,
 }
 
 /// What has changed after a version, as much as fits one message.
@@ -21,6 +23,8 @@
     pub after: Option<ServiceTag>,
     /// The version that the sender has in force.
     pub to: ConfigVersion,
+    /// The digest of the sender's configuration.
+    pub digest: u64,
     /// Whether services not named in any page are to be dropped.
     pub reset: bool,
     /// Services changed after `since`, in the order of their tags.
--- a/arbutus-core/tests/membership.rs
+++ b/arbutus-core/tests/membership.rs
@@ -1,5 +1,7 @@
 //! The control machines under scripted and random failures.
 
+#[path = "membership/config_book.rs"]
+mod config_book;
 #[path = "membership/network.rs"]
 mod network;
 #[path = "membership/random_runs.rs"]
--- /dev/null
+++ b/arbutus-core/tests/membership/config_book.rs
@@ -0,0 +1,140 @@
+//! Configurations that go from book to book by pages.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use arbutus_core::{
+    config::{ConfigVersion, Service, Snapshot},
+    spread::{ConfigBook, PageOutcome},
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// A configuration: for each of a few services its queue, or nothing where it is left out.
+type Contents = [Option<u8>; 4];
+
+fn snapshot(version: u64, contents: Contents) -> Snapshot {
+    let services = (0_u8..).zip(contents).filter_map(|(index, queue)| {
+        let address = SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, index), 443);
+        let mut service = Service::new(&format!("service-{index}"), address);
+        service.requests.queue = u32::from(queue?);
+        Some(service)
+    });
+    Snapshot::new(ConfigVersion::new(version), services)
+}
+
+/// Asks until the other book's configuration is in force; tells how many pages it took.
+fn catch_up(book: &mut ConfigBook, other: &ConfigBook) -> usize {
+    let mut pull = book.pull();
+    for pages in 1..100 {
+        match book.take_page(other.page(pull)) {
+            PageOutcome::Ask(next) => pull = next,
+            PageOutcome::Adopted | PageOutcome::Known => return pages,
+        }
+    }
+    panic!("no end of pages");
+}
+
+struct Skipped {
+    /// Versions that the asking book read.
+    own: &'static [(u64, Contents)],
+    /// Versions that the answering book read.
+    other: &'static [(u64, Contents)],
+}
+
+#[rstest]
+#[case::a_removal_that_the_other_did_not_see(Skipped {
+    own: &[(3, [Some(1), Some(1), None, None])],
+    other: &[(2, [Some(1), None, None, None]), (4, [Some(1), None, None, None])],
+})]
+#[case::an_addition_that_the_other_did_not_see(Skipped {
+    own: &[(2, [Some(1), None, None, None])],
+    other: &[(1, [Some(1), Some(1), None, None]), (3, [Some(1), Some(1), None, None])],
+})]
+#[case::a_change_and_its_undoing(Skipped {
+    own: &[(2, [Some(7), None, None, None])],
+    other: &[(1, [Some(1), None, None, None]), (3, [Some(1), None, None, None])],
+})]
+#[case::versions_that_both_saw(Skipped {
+    own: &[(1, [Some(1), None, Some(1), None])],
+    other: &[(1, [Some(1), None, Some(1), None]), (2, [Some(2), Some(1), None, None])],
+})]
+fn a_book_ends_with_the_contents_of_the_other(#[case] skipped: Skipped) {
+    let (mut own, mut other) = (ConfigBook::new(), ConfigBook::new());
+    for (version, contents) in skipped.own {
+        own.adopt_snapshot(&snapshot(*version, *contents));
+    }
+    for (version, contents) in skipped.other {
+        other.adopt_snapshot(&snapshot(*version, *contents));
+    }
+    catch_up(&mut own, &other);
+    assert_eq!(own.snapshot(), other.snapshot());
+}
+
+#[rstest]
+#[case::of_a_few_services(3, 1)]
+#[case::of_many_services(1_000, 4)]
+fn a_new_book_takes_a_configuration(#[case] services: u32, #[case] least_pages: usize) {
+    let services = (0..services).map(|index| {
+        let address = SocketAddrV4::new(Ipv4Addr::from_bits(0x0a09_0000 + index), 443);
+        Service::new(&format!("service-{index}"), address)
+    });
+    let mut other = ConfigBook::new();
+    other.adopt_snapshot(&Snapshot::new(ConfigVersion::new(9), services));
+    let mut own = ConfigBook::new();
+    assert!(catch_up(&mut own, &other) >= least_pages);
+    assert_eq!(own.snapshot(), other.snapshot());
+}
+
+#[rstest]
+#[case::of_the_store(|book: &mut ConfigBook| {
+    book.adopt_snapshot(&snapshot(4, [None; 4]));
+})]
+#[case::of_another_book(|book: &mut ConfigBook| {
+    let mut older = ConfigBook::new();
+    older.adopt_snapshot(&snapshot(4, [None; 4]));
+    book.take_page(older.page(ConfigBook::new().pull()));
+})]
+fn an_older_configuration_is_left_aside(#[case] offer: fn(&mut ConfigBook)) {
+    let mut book = ConfigBook::new();
+    book.adopt_snapshot(&snapshot(5, [Some(1); 4]));
+    offer(&mut book);
+    assert_eq!(book.version(), ConfigVersion::new(5));
+    assert_eq!(book.invariant_violations(), 0);
+}
+
+#[test]
+fn other_contents_under_one_version_are_counted() {
+    let mut book = ConfigBook::new();
+    book.adopt_snapshot(&snapshot(5, [Some(1); 4]));
+    book.adopt_snapshot(&snapshot(5, [Some(2); 4]));
+    assert_eq!(book.invariant_violations(), 1);
+}
+
+proptest! {
+    /// Books that read some versions of a history and ask each other for the rest.
+    #[test]
+    fn books_agree_whatever_versions_each_has_skipped(
+        history in proptest::collection::vec(any::<[Option<bool>; 4]>(), 2..8),
+        steps in proptest::collection::vec((0_usize..3, 0_usize..3, any::<bool>(), 0_usize..8), 0..24),
+    ) {
+        let history: Vec<Snapshot> = (1_u64..)
+            .zip(&history)
+            .map(|(version, contents)| snapshot(version, contents.map(|it| it.map(u8::from))))
+            .collect();
+        let mut books = [ConfigBook::new(), ConfigBook::new(), ConfigBook::new()];
+        for (own, other, reads, version) in steps {
+            let mut book = std::mem::take(&mut books[own]);
+            if reads {
+                book.adopt_snapshot(&history[version % history.len()]);
+            } else if own != other {
+                catch_up(&mut book, &books[other]);
+            }
+            let version = usize::try_from(book.version().get()).expect("it is small");
+            if let Some(index) = version.checked_sub(1) {
+                prop_assert_eq!(&**book.snapshot(), &history[index]);
+            }
+            prop_assert_eq!(book.invariant_violations(), 0);
+            books[own] = book;
+        }
+    }
+}
--- a/arbutus-core/tests/membership/script.rs
+++ b/arbutus-core/tests/membership/script.rs
@@ -170,6 +170,7 @@
 #[case::parted_domains_come_together_again("partition")]
 #[case::a_silent_domain_is_one_notice("silent_domain")]
 #[case::a_configuration_spreads_though_its_reader_dies("config")]
+#[case::balancers_without_links_find_each_other("strangers")]
 #[case::a_new_balancer_joins_while_the_store_is_down("join")]
 fn scenario(#[case] name: &str) {
     let mut script = Script {
