perf(core): wait for a notice about a failure domain before suspecting its agents

Cause: the home balancers in other failure domains gave up agents 2.5 s after the cut, just before the notice about the domain came, so that each agent was suspected and refuted. They now wait for the notice where one may come.

--- a/arbutus-core/src/membership/balancer_node/agents.rs
+++ b/arbutus-core/src/membership/balancer_node/agents.rs
@@ -140,17 +140,11 @@
 
     /// Probes agents that were silent for a while and suspects those that stay so.
     pub(super) fn scan_agents(&mut self, now: Timestamp) {
-        let own = &self.record.failure_domain;
-        let (heard, settings) = (&self.heard, &self.settings);
-        let extra = |domain: &str| {
-            let heard = heard.get(domain).copied().unwrap_or_default();
-            if domain == &**own || now.since(heard) < settings.agent_probe {
-                Duration::ZERO
-            } else {
-                settings.foreign_patience
-            }
-        };
-        for silence in self.watch.scan(settings, extra, now) {
+        let mut watch = std::mem::take(&mut self.watch);
+        let extra = |domain: &str| self.patience_with(domain, now);
+        let silences = watch.scan(&self.settings, extra, now);
+        self.watch = watch;
+        for silence in silences {
             match silence {
                 Silence::Probe(tunnel) => {
                     if let Some(control) = self.watch.control(tunnel) {
@@ -162,6 +156,20 @@
         }
     }
 
+    /// Time added before an agent of the failure domain becomes suspect, so that a notice about
+    /// the domain takes the place of a suspicion of each agent.
+    fn patience_with(&self, failure_domain: &str, now: Timestamp) -> Duration {
+        let is_own = failure_domain == &*self.record.failure_domain;
+        let heard = self.heard.get(failure_domain).copied().unwrap_or_default();
+        if is_own || now.since(heard) < self.settings.agent_probe {
+            Duration::ZERO
+        } else if self.may_give_notice(failure_domain, now) {
+            self.settings.notice_patience
+        } else {
+            self.settings.foreign_patience
+        }
+    }
+
     /// Takes up the watch of agents whose responsible balancers changed.
     pub(super) fn renew_homes(&mut self, now: Timestamp) {
         let is_paced = self.homes.len() > Self::SMALL_SYSTEM
--- a/arbutus-core/src/membership/balancer_node/domains.rs
+++ b/arbutus-core/src/membership/balancer_node/domains.rs
@@ -54,12 +54,11 @@
         if is_own || self.roster.is_silent(failure_domain) {
             return false;
         }
-        let heard = self.heard.get(failure_domain).copied().unwrap_or_default();
-        if now.since(heard) < self.settings.agent_probe {
+        if self.is_notice_paused(failure_domain, now) {
             return false;
         }
-        let notice = self.roster.notice(failure_domain);
-        if notice.is_some_and(|it| now.since(it.since) < self.settings.notice_pause) {
+        let heard = self.heard.get(failure_domain).copied().unwrap_or_default();
+        if now.since(heard) < self.settings.agent_probe {
             return false;
         }
         let (mut live, mut suspect) = (0, 0);
@@ -75,6 +74,17 @@
         suspect >= needed.max(Self::SILENT_LEAST)
     }
 
+    /// Whether the failure domain has balancers enough for a notice, and none was refuted lately.
+    pub(super) fn may_give_notice(&self, failure_domain: &str, now: Timestamp) -> bool {
+        let balancers = self.homes.near(failure_domain).len();
+        balancers >= Self::SILENT_LEAST && !self.is_notice_paused(failure_domain, now)
+    }
+
+    fn is_notice_paused(&self, failure_domain: &str, now: Timestamp) -> bool {
+        let notice = self.roster.notice(failure_domain);
+        notice.is_some_and(|it| now.since(it.since) < self.settings.notice_pause)
+    }
+
     fn give_notice(&mut self, failure_domain: &Arc<str>, silent: bool, now: Timestamp) {
         let version = self
             .roster
--- a/arbutus-core/src/membership/settings.rs
+++ b/arbutus-core/src/membership/settings.rs
@@ -13,6 +13,8 @@
     pub agent_suspect: Duration,
     /// Time added to `agent_suspect` where nothing else of the agent's failure domain is heard.
     pub foreign_patience: Duration,
+    /// The same where a notice about the whole failure domain may come first.
+    pub notice_patience: Duration,
     /// Silence after which an agent takes another home balancer.
     pub home_silence: Duration,
     /// Home balancers of an agent in its own failure domain.
@@ -63,6 +65,7 @@
             agent_probe: Duration::from_secs(1),
             agent_suspect: Duration::from_millis(1_500),
             foreign_patience: Duration::from_secs(1),
+            notice_patience: Duration::from_millis(2_500),
             home_silence: Duration::from_millis(1_500),
             homes_near: 2,
             homes_far: 1,
