--- a/arbutus-core/tests/request/script.rs
+++ b/arbutus-core/tests/request/script.rs
@@ -94,6 +94,9 @@
             };
             self.now = self.now.max(at);
             let actions = self.feed(name, Event::Tick)?;
+            if actions.is_empty() {
+                return Err("the machine asked for a wake-up that it did not need".into());
+            }
             for line in actions.lines() {
                 writeln!(output, "{} ms: {line}", at.as_millis())?;
             }
