feat(bench): ways of placing flows, compared side by side

The measurement places one stream of flows (same arrivals and lengths for every way) on fake backend servers by hashing, thresholds, load reports and an oracle that joins the shortest queue.

--- a/arbutus-bench/src/policy.rs
+++ b/arbutus-bench/src/policy.rs
@@ -3,16 +3,24 @@
 //! Every run places the flows of one service on small fakes of its backend servers. The product's
 //! own decisions are the real ones: [`arbutus_core::route`] and [`arbutus_core::flow`].
 
-use error_stack::Report;
-use lexopt::Parser;
+mod command;
+mod comparison;
+mod fleet;
+mod node;
+mod outcome;
+mod placement;
+mod requests;
+mod scenario;
+mod section;
+mod strategy;
+mod timeline;
+mod workload;
 
-use crate::bench_error::BenchError;
-
-/// Runs the measurement that the command line describes.
-///
-/// # Errors
-///
-/// Fails where the command line is not understood.
-pub fn run(_parser: &mut Parser) -> Result<(), Report<BenchError>> {
-    Ok(())
-}
+pub use command::run;
+pub use comparison::{Comparison, Row};
+pub use fleet::run as run_scenario;
+pub use outcome::Outcome;
+pub use scenario::{Fault, Scenario};
+pub use section::Section;
+pub use strategy::{Links, Spread, Strategy};
+pub use workload::Workload;
--- /dev/null
+++ b/arbutus-bench/src/policy/command.rs
@@ -0,0 +1,99 @@
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use lexopt::{Arg, Parser, ValueExt};
+use serde::Serialize;
+
+use super::{Comparison, Section};
+use crate::bench_error::BenchError;
+
+const HELP: &str = "\
+Usage: arbutus-bench policy [OPTIONS]
+
+Places flows on fake backend servers in several ways and prints the figures side by side.
+
+Options:
+  --seed K     seed of all random choices [default: 1]
+  --quick      short runs
+  --json       one JSON object in place of tables
+  -h, --help   print this page";
+
+const LENGTH: Duration = Duration::from_secs(2_000);
+const QUICK_LENGTH: Duration = Duration::from_secs(200);
+
+/// What the command line asks for.
+#[derive(Debug, Clone, Copy)]
+struct Options {
+    seed: u64,
+    length: Duration,
+    json: bool,
+}
+
+/// All that was measured, for `--json`.
+#[derive(Debug, Serialize)]
+struct Measured {
+    seed: u64,
+    simulated_s: u64,
+    comparisons: Vec<Comparison>,
+}
+
+/// Runs the measurement that the command line describes.
+///
+/// # Errors
+///
+/// Fails where the command line is not understood.
+pub fn run(parser: &mut Parser) -> Result<(), Report<BenchError>> {
+    let Some(options) = parse(parser).change_context(BenchError::Usage)? else {
+        println!("{HELP}");
+        return Ok(());
+    };
+    if options.json {
+        return print_json(options);
+    }
+    let length = options.length.as_secs();
+    println!("Seed {}, {length} s simulated for each run.", options.seed);
+    for section in Section::all(options.length, options.seed) {
+        println!("\n## {}", section.title);
+        for scenario in &section.scenarios {
+            println!("\n{}", Comparison::run(scenario, &section.ways));
+        }
+    }
+    Ok(())
+}
+
+fn parse(parser: &mut Parser) -> Result<Option<Options>, lexopt::Error> {
+    let mut options = Options {
+        seed: 1,
+        length: LENGTH,
+        json: false,
+    };
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            Arg::Long("quick") => options.length = QUICK_LENGTH,
+            Arg::Long("json") => options.json = true,
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Some(options))
+}
+
+fn print_json(options: Options) -> Result<(), Report<BenchError>> {
+    let sections = Section::all(options.length, options.seed);
+    let comparisons = sections.iter().flat_map(|section| {
+        let ways = &section.ways;
+        section
+            .scenarios
+            .iter()
+            .map(|scenario| Comparison::run(scenario, ways))
+    });
+    let measured = Measured {
+        seed: options.seed,
+        simulated_s: options.length.as_secs(),
+        comparisons: comparisons.collect(),
+    };
+    let text = serde_json::to_string_pretty(&measured).change_context(BenchError::Failed)?;
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/arbutus-bench/src/policy/comparison.rs
@@ -0,0 +1,85 @@
+use serde::Serialize;
+
+use super::{Outcome, Scenario, Strategy, run_scenario};
+
+/// Ways of placing flows, run one after the other in the same scenario.
+#[derive(Debug, Clone, Serialize)]
+pub struct Comparison {
+    /// The scenario, in words.
+    pub scenario: String,
+    /// The ways, in the order in which they were run.
+    pub rows: Vec<Row>,
+}
+
+/// One way in a comparison.
+#[derive(Debug, Clone, Serialize)]
+pub struct Row {
+    /// The way, in words.
+    pub strategy: String,
+    /// What it showed.
+    pub outcome: Outcome,
+    /// Its imbalance against that of the oracle.
+    pub against_oracle: f64,
+}
+
+const HEAD: &str = "\
+| way | broken flows | imbalance (CV) | / oracle | p50 ms | p99 ms | p999 ms | shed % | agent hops \
+| requests passed % | report B/s | admitted after drain |
+|---|---|---|---|---|---|---|---|---|---|---|---|";
+
+impl Comparison {
+    /// Runs `scenario` in every one of `ways` and by the oracle.
+    #[must_use]
+    pub fn run(scenario: &Scenario, ways: &[Strategy]) -> Self {
+        let oracle = run_scenario(&scenario.strategy(Strategy::Oracle));
+        let mut rows: Vec<_> = ways
+            .iter()
+            .map(|way| row(*way, run_scenario(&scenario.strategy(*way)), &oracle))
+            .collect();
+        rows.push(row(Strategy::Oracle, oracle.clone(), &oracle));
+        Self {
+            scenario: scenario.to_string(),
+            rows,
+        }
+    }
+}
+
+fn row(way: Strategy, outcome: Outcome, oracle: &Outcome) -> Row {
+    Row {
+        strategy: way.to_string(),
+        against_oracle: outcome.imbalance_cv / oracle.imbalance_cv,
+        outcome,
+    }
+}
+
+impl std::fmt::Display for Comparison {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(f, "{}:\n\n{HEAD}", self.scenario)?;
+        for row in &self.rows {
+            writeln!(f, "{row}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::fmt::Display for Row {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let it = &self.outcome;
+        write!(
+            f,
+            "| {} | {} | {:.3} | {:.2} | {:.0} | {:.0} | {:.0} | {:.2} | {:.2} | {:.1} | {:.0} | {} |",
+            self.strategy,
+            it.broken_flows,
+            it.imbalance_cv,
+            self.against_oracle,
+            it.p50_ms,
+            it.p99_ms,
+            it.p999_ms,
+            it.shed_percent,
+            it.agent_hops,
+            it.spread_percent,
+            it.report_bytes_per_s,
+            it.admitted_after_drain,
+        )
+    }
+}
--- a/arbutus-core/src/flow.rs
+++ b/arbutus-core/src/flow.rs
@@ -63,6 +63,7 @@
 mod peer;
 mod peer_table;
 mod ramp;
+mod recent_sheds;
 mod report_schedule;
 
 pub use action::Action;
--- a/arbutus-core/src/flow/event.rs
+++ b/arbutus-core/src/flow/event.rs
@@ -1,4 +1,4 @@
-use super::{FlowKey, FlowLimits, LoadReport};
+use super::{FlowKey, FlowLimits, FlowPolicy, LoadReport};
 use crate::roster::AgentRecord;
 
 /// What flow admission is told.
@@ -17,12 +17,17 @@
         /// Requests that wait for a slot.
         queued: u32,
     },
+    /// The backend server has shed a request. A backend server that sheds looks idle, so the
+    /// request counts as one in hand for a while.
+    Shed,
     /// A peer has reported its load.
     Report(LoadReport),
     /// The agents of the service are these; the agent's own record may be among them.
     Peers(Vec<AgentRecord>),
     /// The limits have changed.
     Limits(FlowLimits),
+    /// The tunables have changed.
+    Policy(FlowPolicy),
     /// No new flow may be admitted until [`Event::Resume`].
     Drain,
     /// New flows may be admitted again, unless the agent stops.
--- a/arbutus-core/src/flow/flow_admission.rs
+++ b/arbutus-core/src/flow/flow_admission.rs
@@ -6,7 +6,7 @@
 use super::{
     Action, Admission, Event, FirstPacket, FlowCounts, FlowDrop, FlowKey, FlowLimits, FlowPolicy,
     Load, LoadReport, Refusal, flow_table::FlowTable, pass_memory::PassMemory,
-    peer_table::PeerTable, ramp::Ramp, report_schedule::ReportSchedule,
+    peer_table::PeerTable, ramp::Ramp, recent_sheds::RecentSheds, report_schedule::ReportSchedule,
 };
 use crate::{
     ident::{Incarnation, ServiceTag},
@@ -45,6 +45,7 @@
     peers: PeerTable,
     running: u32,
     queued: u32,
+    sheds: RecentSheds,
     sequence: u32,
     schedule: ReportSchedule,
     rng: ChaCha8Rng,
@@ -77,6 +78,7 @@
             peers: PeerTable::new(tunnel),
             running: 0,
             queued: 0,
+            sheds: RecentSheds::default(),
             sequence: 0,
             schedule: ReportSchedule::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -109,9 +111,11 @@
             Event::Requested(flow) => self.flows.note_request(&flow),
             Event::Closed(flow) => self.close(&flow),
             Event::Requests { running, queued } => self.set_requests(running, queued),
+            Event::Shed => self.note_shed(now),
             Event::Report(report) => self.hear(report, now),
             Event::Peers(records) => self.list_peers(&records, now),
             Event::Limits(limits) => self.set_limits(limits),
+            Event::Policy(policy) => self.policy = policy,
             Event::Drain => self.leave_open(Phase::Draining),
             Event::Stop => self.leave_open(Phase::Stopping),
             Event::Resume => self.resume(now),
@@ -128,6 +132,7 @@
         let timers = [
             self.flows.next_expiry(&self.policy),
             self.passed.next_expiry(&self.policy),
+            self.sheds.next_expiry(&self.policy),
         ];
         let report = self.schedule.next(&self.policy);
         timers.into_iter().flatten().fold(report, Timestamp::min)
@@ -136,9 +141,10 @@
     /// What the agent has in hand at present.
     #[must_use]
     pub fn load(&self, now: Timestamp) -> Load {
-        let requests = self.running.saturating_add(self.queued);
+        let in_hand = self.running.saturating_add(self.queued);
+        let presumed = self.flows.expected_requests() + self.sheds.count();
         Load {
-            requests: requests.saturating_add(self.flows.expected_requests()),
+            requests: in_hand.saturating_add(presumed),
             connections: self.flows.connections(),
             weight_permille: if self.has_room(now) {
                 self.weight_permille(now)
@@ -148,6 +154,18 @@
         }
     }
 
+    /// The peer with the lowest load among those whose fresh report leaves a slot free, for one
+    /// request that finds none here. The request is counted there until the peer's next report.
+    pub fn take_free_peer(&mut self, now: Timestamp) -> Option<SocketAddrV4> {
+        let slots = self.limits.slots;
+        let best = self.peers.best(&self.policy, &mut self.rng, now)?;
+        let free = best.requests < slots;
+        if free {
+            self.peers.note_sent(best.tunnel, &self.policy, now);
+        }
+        free.then_some(best.tunnel)
+    }
+
     /// What the machine has done since its start.
     #[must_use]
     pub const fn counts(&self) -> &FlowCounts {
@@ -291,6 +309,11 @@
         }
     }
 
+    fn note_shed(&mut self, now: Timestamp) {
+        self.sheds.record(now);
+        self.schedule.note_change();
+    }
+
     fn hear(&mut self, report: LoadReport, now: Timestamp) {
         if report.tag == self.tag && self.peers.hear(report, &self.policy, now) {
             self.counts.reports_taken += 1;
@@ -369,6 +392,9 @@
 
     fn expire(&mut self, now: Timestamp) {
         self.passed.expire(&self.policy, now);
+        if self.sheds.expire(&self.policy, now) {
+            self.schedule.note_change();
+        }
         let never_opened = self.flows.expire(&self.policy, now);
         if never_opened > 0 {
             self.counts.never_opened += never_opened;
--- a/arbutus-core/src/flow/flow_policy.rs
+++ b/arbutus-core/src/flow/flow_policy.rs
@@ -1,3 +1,5 @@
+use crate::config::Balance;
+
 /// The tunables of flow admission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FlowPolicy {
@@ -19,6 +21,8 @@
     pub pending_ms: u64,
     /// How long an admitted flow counts as a request before its first one, in milliseconds.
     pub settle_ms: u64,
+    /// How long a request that the backend server shed counts as one in hand, in milliseconds.
+    pub shed_ms: u64,
     /// Longest time between two reports to one peer, in milliseconds.
     pub report_interval_ms: u64,
     /// Most reports to one peer each second.
@@ -44,13 +48,14 @@
             first_margin: 0,
             later_margin: 1_000,
             request_cost: 1_000,
-            connection_cost: 10,
+            connection_cost: 2,
             memory_ms: 5_000,
             memory_entries: 4_096,
             pending_ms: 5_000,
             settle_ms: 1_000,
+            shed_ms: 3_000,
             report_interval_ms: 500,
-            reports_per_s: 6,
+            reports_per_s: 8,
             report_burst: 3,
             report_peers: 6,
             report_rotation_ms: 10_000,
@@ -58,6 +63,20 @@
             in_flight_ms: 12,
         }
     }
+
+    /// The defaults for a service that weighs `balance` more.
+    ///
+    /// Where requests are passed to peers with a free slot, a flow is passed on for a greater
+    /// difference only, since its requests do not depend on where it is.
+    #[must_use]
+    pub const fn for_balance(balance: Balance) -> Self {
+        let mut policy = Self::new();
+        if matches!(balance, Balance::Spread) {
+            policy.first_margin = 2_000;
+            policy.later_margin = 3_000;
+        }
+        policy
+    }
 }
 
 impl Default for FlowPolicy {
--- a/arbutus-core/src/flow/peer_table.rs
+++ b/arbutus-core/src/flow/peer_table.rs
@@ -11,6 +11,7 @@
 pub(super) struct BestPeer {
     pub(super) tunnel: SocketAddrV4,
     pub(super) score: u64,
+    pub(super) requests: u32,
 }
 
 /// Where a report goes.
@@ -25,6 +26,14 @@
 pub(super) struct PeerTable {
     own: SocketAddrV4,
     peers: IndexMap<SocketAddrV4, Peer>,
+    /// The sample of the present round, if it has been drawn since the last list.
+    sample: Option<Sample>,
+}
+
+#[derive(Debug)]
+struct Sample {
+    round: u64,
+    targets: Vec<ReportTarget>,
 }
 
 impl PeerTable {
@@ -32,6 +41,7 @@
         Self {
             own,
             peers: IndexMap::new(),
+            sample: None,
         }
     }
 
@@ -45,6 +55,7 @@
             self.peers.entry(record.tunnel).or_default().list(record);
         }
         self.peers.retain(|_, peer| peer.is_known(policy, now));
+        self.sample = None;
     }
 
     /// Takes in a report; gives `false` where it is this agent's own or a later one is known.
@@ -67,8 +78,10 @@
         let mut best: Option<BestPeer> = None;
         let mut equals = 0;
         for (tunnel, peer) in &self.peers {
-            let load = peer.load(policy, now);
-            let Some(score) = load.and_then(|load| load.score(policy)) else {
+            let Some(load) = peer.load(policy, now) else {
+                continue;
+            };
+            let Some(score) = load.score(policy) else {
                 continue;
             };
             let order = best.map(|best| score.cmp(&best.score));
@@ -78,8 +91,11 @@
                 Some(std::cmp::Ordering::Less) | None => 1,
             };
             if equals == 1 || rng.random_range(0..equals) == 0 {
-                let tunnel = *tunnel;
-                best = Some(BestPeer { tunnel, score });
+                best = Some(BestPeer {
+                    tunnel: *tunnel,
+                    score,
+                    requests: load.requests,
+                });
             }
         }
         best
@@ -114,21 +130,25 @@
     }
 
     /// The peers to report to: all, or a sample of the policy's size that changes with `round`.
-    pub(super) fn targets(&self, policy: &FlowPolicy, round: u64) -> Vec<ReportTarget> {
-        let mut targets: Vec<_> = self
-            .peers
-            .iter()
-            .filter_map(|(tunnel, peer)| {
-                let control = peer.report_address()?;
-                let tunnel = *tunnel;
-                Some(ReportTarget { tunnel, control })
+    pub(super) fn targets(&mut self, policy: &FlowPolicy, round: u64) -> &[ReportTarget] {
+        let drawn = self.sample.take().filter(|sample| sample.round == round);
+        let sample = drawn.unwrap_or_else(|| self.draw(policy, round));
+        &self.sample.insert(sample).targets
+    }
+
+    fn draw(&self, policy: &FlowPolicy, round: u64) -> Sample {
+        let addresses = self.peers.iter().filter_map(|(tunnel, peer)| {
+            Some(ReportTarget {
+                tunnel: *tunnel,
+                control: peer.report_address()?,
             })
-            .collect();
+        });
+        let mut targets: Vec<_> = addresses.collect();
         if targets.len() > policy.report_peers {
             targets.sort_by_cached_key(|target| self.rank(target.tunnel, round));
             targets.truncate(policy.report_peers);
         }
-        targets
+        Sample { round, targets }
     }
 
     fn rank(&self, peer: SocketAddrV4, round: u64) -> u64 {
