fix(core): a lost race leaves no shards behind, and no version falls after a wipe

The loser now names its own shards that no index can name any more, and apply asks the given nodes for the highest version first.

--- a/arbutus-core/src/apply/machine.rs
+++ b/arbutus-core/src/apply/machine.rs
@@ -4,8 +4,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
-    Action, Base, ChangeRecord, Event, Outcome, Plan, PlanError, Revision, Services, StoreFailure,
-    Stored, Swap, Tunables, differences,
+    Action, Base, ChangeRecord, Event, Outcome, Plan, PlanError, Revision, Services, ShardKey,
+    StoreFailure, Stored, Swap, Tunables, differences,
 };
 use crate::time::Timestamp;
 
@@ -29,6 +29,8 @@
     failures: u32,
     /// Whether a swap was sent whose answer is not known; it never goes back to false.
     in_doubt: bool,
+    /// Shards that were sent to the store for this change.
+    sent: Vec<ShardKey>,
     /// Times that the machine was told something impossible.
     invariant_violations: u64,
 }
@@ -58,6 +60,7 @@
             started: Timestamp::ZERO,
             failures: 0,
             in_doubt: false,
+            sent: Vec::new(),
             invariant_violations: 0,
         }
     }
@@ -165,6 +168,7 @@
             return self.swap(stored.revision, plan);
         }
         let shards = plan.shards.clone();
+        self.sent.extend(shards.iter().map(|it| it.key.clone()));
         let expected = stored.revision;
         self.state = State::WritingShards { expected, plan };
         Action::WriteShards(shards)
@@ -217,9 +221,21 @@
             version,
             by: stored.made_by(),
             theirs: differences(&self.base.services, &services),
+            obsolete: self.orphans(stored),
         }
     }
 
+    /// Shards of this change that no index names or ever will.
+    ///
+    /// The base is gone, so that no swap over it can succeed any more; and a shard names the
+    /// version that it was made for, so that no later change makes the same one again.
+    fn orphans(&self, stored: &Stored) -> Vec<ShardKey> {
+        let retired = stored.index.iter().flat_map(|index| &index.retired);
+        let named: Vec<_> = stored.shards().chain(retired).collect();
+        let sent = self.sent.iter().filter(|key| !named.contains(key));
+        sent.cloned().collect()
+    }
+
     fn removed(&self, stored: &Stored) -> Vec<Arc<str>> {
         let gone = |tag| !self.desired.contains_key(tag);
         let services = stored.services.iter().filter(|(tag, _)| gone(*tag));
--- a/arbutus-core/src/apply/outcome.rs
+++ b/arbutus-core/src/apply/outcome.rs
@@ -28,6 +28,8 @@
         by: Arc<str>,
         /// What it changed against the base.
         theirs: Vec<Difference>,
+        /// Shards of this change that nothing refers to and that may be deleted.
+        obsolete: Vec<ShardKey>,
     },
     /// The change would remove services, which was not allowed.
     RemovalRefused {
@@ -52,3 +54,14 @@
         reason: Arc<str>,
     },
 }
+
+impl Outcome {
+    /// Shards that may be deleted.
+    #[must_use]
+    pub fn obsolete(&self) -> &[ShardKey] {
+        match self {
+            Self::Accepted { obsolete, .. } | Self::LostRace { obsolete, .. } => obsolete,
+            _ => &[],
+        }
+    }
+}
--- a/arbutus-io/src/store/commit.rs
+++ b/arbutus-io/src/store/commit.rs
@@ -66,10 +66,7 @@
 
 /// Deletes shards that nothing refers to; what fails stays and does no harm.
 async fn delete_obsolete(client: &StoreClient, layout: &Layout, outcome: &Outcome) {
-    let Outcome::Accepted { obsolete, .. } = outcome else {
-        return;
-    };
-    for key in obsolete {
+    for key in outcome.obsolete() {
         delete_shard(client, layout, key).await;
     }
 }
--- a/arbutusctl/src/command/apply.rs
+++ b/arbutusctl/src/command/apply.rs
@@ -36,6 +36,7 @@
         },
         None => settle(store, base).await,
     };
+    let base = above_nodes(base, &connection).await;
     let outcome = change(options, store, base, &loaded).await?;
     let mut report = ApplyReport::new(outcome);
     if let Some(version) = report.version_in_force() {
@@ -61,9 +62,22 @@
         version: stored.version(),
         by: stored.made_by(),
         theirs: Vec::new(),
+        obsolete: Vec::new(),
     }))
 }
 
+/// Learns the highest version from the nodes that are known and answer.
+///
+/// Where the store lost its data, a new version must still be above what nodes have in force.
+async fn above_nodes(base: BaseFile, connection: &Connection) -> BaseFile {
+    let client = AdminClient::new();
+    let highest = fleet::highest_version(&client, &connection.admin).await;
+    BaseFile {
+        highest: base.highest.max(ConfigVersion::new(highest)),
+        ..base
+    }
+}
+
 /// Settles a change whose end was not known; where the store is down, it stays open.
 async fn settle(store: &StoreSettings, base: BaseFile) -> BaseFile {
     if base.pending.is_none() {
--- a/arbutusctl/src/command/report.rs
+++ b/arbutusctl/src/command/report.rs
@@ -125,6 +125,7 @@
             version,
             by,
             theirs,
+            ..
         } = &self.outcome
         {
             value["version"] = json!(version);
--- a/arbutusctl/src/fleet.rs
+++ b/arbutusctl/src/fleet.rs
@@ -6,4 +6,4 @@
 
 pub(crate) use admin_client::AdminClient;
 pub(crate) use node::{Node, NodeVersion, Role};
-pub(crate) use survey::{nodes, roster, versions, wait_for_version};
+pub(crate) use survey::{highest_version, nodes, roster, versions, wait_for_version};
--- a/arbutusctl/src/fleet/survey.rs
+++ b/arbutusctl/src/fleet/survey.rs
@@ -64,6 +64,20 @@
         .await
 }
 
+/// The highest version that the nodes at `admin` have in force; 0 where none answers.
+pub(crate) async fn highest_version(client: &AdminClient, admin: &[SocketAddr]) -> u64 {
+    let ask = |address: &SocketAddr| {
+        let address = *address;
+        async move { client.get::<ConfigView>(address, "/config").await }
+    };
+    let views: Vec<_> = stream::iter(admin.iter().map(ask))
+        .buffered(PARALLEL_ASKS)
+        .collect()
+        .await;
+    let versions = views.into_iter().flatten().map(|view| view.version);
+    versions.max().unwrap_or(0)
+}
+
 /// Waits until every node has `version` in force, or `wait` is over; `progress` is told the number
 /// of those that have it and of all.
 ///
