--- a/arbutusctl/src/command/explain.rs
+++ b/arbutusctl/src/command/explain.rs
@@ -121,6 +121,7 @@
         name: view.name.clone(),
         failure_domain: view.failure_domain.clone(),
         tag: ServiceTag::of_name(&view.service),
+        admin_port: view.admin.port(),
         incarnation: Incarnation::new(view.incarnation),
         version: view.version,
         state,
