--- a/arbutus-io/tests/data_path.rs
+++ b/arbutus-io/tests/data_path.rs
@@ -101,7 +101,7 @@
     }
 
     /// A short-header packet of a flow that `owner` has.
-    fn established(&self, service: &str, owner: SocketAddrV4, keys: &KeyRing) -> Vec<u8> {
+    fn established(service: &str, owner: SocketAddrV4, keys: &KeyRing) -> Vec<u8> {
         let tag = ServiceTag::of_name(service);
         let owner = FlowOwner::new(owner, tag, Incarnation::new(1));
         let mut rng = ChaCha8Rng::seed_from_u64(1);
@@ -112,7 +112,7 @@
     }
 
     fn marker(&self) -> Vec<u8> {
-        self.established("lookup", address(&self.agent), &self.keys)
+        Self::established("lookup", address(&self.agent), &self.keys)
     }
 }
 
@@ -142,7 +142,7 @@
     let bench = Bench::start();
     let owner = socket();
     // The roster knows nothing of this agent.
-    let payload = bench.established("lookup", address(&owner), &bench.keys);
+    let payload = Bench::established("lookup", address(&owner), &bench.keys);
     bench.send_from_fabric(SERVICE, &payload);
     let mut buf = [0; 4_096];
     let bytes = owner.recv(&mut buf).expect("the owner gets it");
@@ -206,7 +206,7 @@
     destination: SERVICE,
     payload: |bench| {
         let strange = KeyRing::single(SystemKey::derive(&[2; 32]));
-        bench.established("lookup", address(&bench.agent), &strange)
+        Bench::established("lookup", address(&bench.agent), &strange)
     },
     reason: "foreign-id",
 })]
--- a/arbutusctl/src/command/explain.rs
+++ b/arbutusctl/src/command/explain.rs
@@ -118,7 +118,6 @@
     Some(AgentRecord {
         tunnel: view.tunnel,
         control: view.control,
-        admin_port: view.admin.port(),
         name: view.name.clone(),
         failure_domain: view.failure_domain.clone(),
         tag: ServiceTag::of_name(&view.service),
