fix(agent): a draining agent tells its open connections by GOAWAY

Cause: drain closed admission of flows only, and callers with an open session went on asking there. Ruled out: stale rosters (no new flow came after the drain). Requests that were sent are still served.

--- a/arbutus-io/src/agent/server.rs
+++ b/arbutus-io/src/agent/server.rs
@@ -2,7 +2,7 @@
 
 use arbutus_core::{
     cid::FlowOwner,
-    config::{Balance, DesiredState, RequestPolicy, Service},
+    config::{Balance, RequestPolicy, Service},
     flow::{self, FlowAdmission, FlowLimits, FlowPolicy, LoadReport},
     ident::{Incarnation, ServiceTag},
     request::{self, AgentIdentity, Origin, RequestMachine},
@@ -114,8 +114,6 @@
             policy: service.requests.clone(),
             balance: service.balance,
         });
-        let wanted = service.backend_server(&self.name).state;
-        self.set_leaving(wanted == DesiredState::Leave);
     }
 
     /// Takes in the agents of the service.
@@ -135,8 +133,12 @@
         self.metrics.imbalance_thousandths.set(imbalance);
     }
 
-    /// Stops or resumes taking new flows.
+    /// Stops or resumes taking new work.
+    ///
+    /// Open connections are told to go by GOAWAY, so that their callers take the next request
+    /// elsewhere; what has come is still served.
     pub(super) fn set_draining(&self, draining: bool) {
+        self.set_goaway(draining);
         let event = if draining {
             flow::Event::Drain
         } else {
@@ -160,10 +162,10 @@
     }
 
     /// Tells the peers of all connections to go, or no longer tells new ones so.
-    pub(super) fn set_leaving(&self, leaving: bool) {
+    fn set_goaway(&self, goaway: bool) {
         self.stopping.send_if_modified(|stopping| {
-            let changed = *stopping != leaving;
-            *stopping = leaving;
+            let changed = *stopping != goaway;
+            *stopping = goaway;
             changed
         });
     }
@@ -176,7 +178,7 @@
     /// Begins a stop and gives a future that ends when nothing is left in hand, or `grace` later.
     pub(super) fn stop(&self, grace: Duration) -> impl Future<Output = ()> + Send + 'static {
         self.flows.handle(flow::Event::Stop);
-        self.set_leaving(true);
+        self.set_goaway(true);
         let flows = self.flows.clone();
         let requests = self.requests.clone();
         async move {
