--- a/arbutus-core/src/membership/balancer_node.rs
+++ b/arbutus-core/src/membership/balancer_node.rs
@@ -3,6 +3,7 @@
 mod agents;
 mod configs;
 mod domains;
+mod greetings;
 mod links;
 mod node;
 mod records;
--- a/arbutus-core/src/roster.rs
+++ b/arbutus-core/src/roster.rs
@@ -11,6 +11,7 @@
 mod rank;
 pub mod rendezvous;
 mod roster_entry;
+mod roster_merge;
 mod roster_repair;
 mod roster_table;
 mod update;
--- /dev/null
+++ b/arbutus-core/src/roster/roster_merge.rs
@@ -0,0 +1,211 @@
+//! Merging of records, and their place in the digests.
+
+use std::time::Duration;
+
+use super::{
+    AgentRecord, AgentState, BalancerRecord, DomainNotice, LeafId, MemberKey, Merge, Rank, Roster,
+    RosterEntry, Update,
+    roster_table::{notice_digest, record_digest},
+};
+use crate::time::Timestamp;
+
+impl Roster {
+    /// Merges a record that another node sent.
+    pub fn merge(&mut self, update: Update, now: Timestamp) -> Merge {
+        match update {
+            Update::Agent { record, age_s } => self.merge_agent(record, age_s, now),
+            Update::AgentRank {
+                tunnel,
+                rank,
+                age_s,
+            } => self.merge_rank(&MemberKey::Agent(tunnel), rank, age_s, now),
+            Update::BalancerRank {
+                control,
+                rank,
+                age_s,
+            } => self.merge_rank(&MemberKey::Balancer(control), rank, age_s, now),
+            Update::Balancer { record, age_s } => self.merge_balancer(record, age_s, now),
+            Update::Domain(notice) => self.merge_notice(notice, now),
+        }
+    }
+
+    fn merge_agent(&mut self, mut record: AgentRecord, age_s: u16, now: Timestamp) -> Merge {
+        let since = since(now, age_s);
+        let fresh = is_fresh(record.state, since, now);
+        let key = MemberKey::Agent(record.tunnel);
+        match self.agents.get(&record.tunnel) {
+            None if !fresh => return Merge::Ignored,
+            Some(held) if is_conflict(&record, &held.record) => return Merge::Conflict,
+            _ => {}
+        }
+        if let Some(merge) = self.compare(&key, record.rank()) {
+            return merge;
+        }
+        record.failure_domain = self.intern(&record.failure_domain);
+        self.remove(&key);
+        self.by_tag
+            .entry(record.tag)
+            .or_default()
+            .push(record.tunnel);
+        let entry = RosterEntry {
+            record,
+            since,
+            in_digests: false,
+        };
+        self.agents.insert(entry.record.tunnel, entry);
+        self.set_in_digests(&key, fresh);
+        Merge::Changed
+    }
+
+    fn merge_rank(&mut self, key: &MemberKey, rank: Rank, age_s: u16, now: Timestamp) -> Merge {
+        let Some(held) = self.rank(key) else {
+            return Merge::Ignored;
+        };
+        if held.incarnation < rank.incarnation {
+            return Merge::Ignored;
+        }
+        if let Some(merge) = self.compare(key, rank) {
+            return merge;
+        }
+        let since = since(now, age_s);
+        self.set_in_digests(key, false);
+        self.set_rank(key, rank, since);
+        self.set_in_digests(key, is_fresh(rank.state, since, now));
+        Merge::Changed
+    }
+
+    fn set_rank(&mut self, key: &MemberKey, rank: Rank, since: Timestamp) {
+        match key {
+            MemberKey::Agent(tunnel) => {
+                if let Some(entry) = self.agents.get_mut(tunnel) {
+                    entry.record.version = rank.version;
+                    entry.record.state = rank.state;
+                    entry.since = since;
+                }
+            }
+            MemberKey::Balancer(control) => {
+                if let Some(entry) = self.balancers.get_mut(control) {
+                    entry.record.version = rank.version;
+                    entry.record.state = rank.state;
+                    entry.since = since;
+                }
+            }
+            MemberKey::Domain(_) => {}
+        }
+    }
+
+    fn merge_balancer(&mut self, mut record: BalancerRecord, age_s: u16, now: Timestamp) -> Merge {
+        let since = since(now, age_s);
+        let fresh = is_fresh(record.state, since, now);
+        let key = MemberKey::Balancer(record.control);
+        if !fresh && !self.balancers.contains_key(&record.control) {
+            return Merge::Ignored;
+        }
+        if let Some(merge) = self.compare(&key, record.rank()) {
+            return merge;
+        }
+        record.failure_domain = self.intern(&record.failure_domain);
+        self.remove(&key);
+        let entry = RosterEntry {
+            record,
+            since,
+            in_digests: false,
+        };
+        self.balancers.insert(entry.record.control, entry);
+        self.set_in_digests(&key, fresh);
+        Merge::Changed
+    }
+
+    fn merge_notice(&mut self, mut notice: DomainNotice, now: Timestamp) -> Merge {
+        if let Some(held) = self.domains.get(&notice.failure_domain) {
+            if held.record == notice {
+                return Merge::Known;
+            }
+            if held.record.supersedes(&notice) {
+                return Merge::Stale;
+            }
+        }
+        notice.failure_domain = self.intern(&notice.failure_domain);
+        let key = MemberKey::Domain(notice.failure_domain.clone());
+        self.remove(&key);
+        let entry = RosterEntry {
+            record: notice,
+            since: now,
+            in_digests: false,
+        };
+        self.domains
+            .insert(entry.record.failure_domain.clone(), entry);
+        self.set_in_digests(&key, true);
+        Merge::Changed
+    }
+
+    /// What becomes of a record of this rank, unless it is news.
+    fn compare(&self, key: &MemberKey, rank: Rank) -> Option<Merge> {
+        let held = self.rank(key)?;
+        match rank.cmp(&held) {
+            std::cmp::Ordering::Less => Some(Merge::Stale),
+            std::cmp::Ordering::Equal => Some(Merge::Known),
+            std::cmp::Ordering::Greater => None,
+        }
+    }
+
+    /// Puts the record into the digests or takes it out.
+    pub(super) fn set_in_digests(&mut self, key: &MemberKey, wanted: bool) {
+        let Some((digest, in_digests)) = self.digest_of(key) else {
+            return;
+        };
+        if in_digests == wanted {
+            return;
+        }
+        self.digests.toggle(LeafId::of(key.digest()), digest);
+        let flag = match key {
+            MemberKey::Agent(it) => self.agents.get_mut(it).map(|it| &mut it.in_digests),
+            MemberKey::Balancer(it) => self.balancers.get_mut(it).map(|it| &mut it.in_digests),
+            MemberKey::Domain(it) => self.domains.get_mut(it).map(|it| &mut it.in_digests),
+        };
+        if let Some(flag) = flag {
+            *flag = wanted;
+        }
+    }
+
+    fn digest_of(&self, key: &MemberKey) -> Option<(u64, bool)> {
+        match key {
+            MemberKey::Agent(it) => {
+                let entry = self.agents.get(it)?;
+                Some((
+                    record_digest(key.digest(), entry.record.rank()),
+                    entry.in_digests,
+                ))
+            }
+            MemberKey::Balancer(it) => {
+                let entry = self.balancers.get(it)?;
+                Some((
+                    record_digest(key.digest(), entry.record.rank()),
+                    entry.in_digests,
+                ))
+            }
+            MemberKey::Domain(it) => {
+                let entry = self.domains.get(it)?;
+                Some((notice_digest(key.digest(), &entry.record), entry.in_digests))
+            }
+        }
+    }
+}
+
+/// Whether two agents at one address have the same incarnation.
+fn is_conflict(record: &AgentRecord, held: &AgentRecord) -> bool {
+    record.incarnation == held.incarnation && (record.tag != held.tag || record.name != held.name)
+}
+
+fn since(now: Timestamp, age_s: u16) -> Timestamp {
+    let age = Duration::from_secs(u64::from(age_s));
+    Timestamp::from_micros(
+        now.as_micros()
+            .saturating_sub(u64::try_from(age.as_micros()).unwrap_or(u64::MAX)),
+    )
+}
+
+/// Whether a record is young enough to be in the digests.
+fn is_fresh(state: AgentState, since: Timestamp, now: Timestamp) -> bool {
+    state.is_live() || now.since(since) <= Roster::DIGEST_LIFE
+}
--- a/arbutus-core/src/spread.rs
+++ b/arbutus-core/src/spread.rs
@@ -3,6 +3,7 @@
 mod config_book;
 mod config_digest;
 mod config_page;
+mod config_pages;
 mod page_outcome;
 mod staging;
 mod store_read;
--- a/arbutus-core/src/spread/config_book.rs
+++ b/arbutus-core/src/spread/config_book.rs
@@ -5,11 +5,9 @@
 
 use indexmap::IndexMap;
 
-use super::{
-    ConfigPage, ConfigPull, PageOutcome, VersionedService, config_digest, staging::Staging,
-};
+use super::{VersionedService, config_digest, staging::Staging};
 use crate::{
-    config::{ConfigVersion, Service, Snapshot},
+    config::{ConfigVersion, Snapshot},
     ident::ServiceTag,
 };
 
@@ -17,24 +15,22 @@
 #[derive(Debug, Default)]
 pub struct ConfigBook {
     /// Its version never falls.
-    snapshot: Arc<Snapshot>,
+    pub(super) snapshot: Arc<Snapshot>,
     /// Has the tags of `snapshot`; none is above its version.
-    versions: BTreeMap<ServiceTag, ConfigVersion>,
+    pub(super) versions: BTreeMap<ServiceTag, ConfigVersion>,
     /// When services were removed, as far back as `removals_after`.
-    removals: IndexMap<ServiceTag, ConfigVersion>,
-    removals_after: ConfigVersion,
+    pub(super) removals: IndexMap<ServiceTag, ConfigVersion>,
+    pub(super) removals_after: ConfigVersion,
     /// The exclusive or over the services of `snapshot`.
-    digest: u64,
+    pub(super) digest: u64,
     /// Whether changes did not add up to the sender's configuration, so that all of it is asked
     /// for.
-    needs_whole: bool,
-    staging: Option<Staging>,
+    pub(super) needs_whole: bool,
+    pub(super) staging: Option<Staging>,
     invariant_violations: u64,
 }
 
 impl ConfigBook {
-    /// Bytes of services in one page.
-    const PAGE_BYTES: usize = 16 * 1_024;
     /// Removals remembered.
     const REMOVALS: usize = 1_024;
 
@@ -104,167 +100,8 @@
         true
     }
 
-    /// The first or a further page of what has changed after `pull.since`.
-    #[must_use]
-    pub fn page(&self, pull: ConfigPull) -> ConfigPage {
-        let reset = pull.whole || pull.since < self.removals_after;
-        let since = if reset {
-            ConfigVersion::NONE
-        } else {
-            pull.since
-        };
-        let mut services = Vec::new();
-        let mut bytes = 0;
-        let mut more = false;
-        for (tag, version) in self.versions_after(pull.after) {
-            if version <= since {
-                continue;
-            }
-            let Some(service) = self.snapshot.services.get(&tag) else {
-                continue;
-            };
-            let size = encoded_bytes(service);
-            if bytes + size > Self::PAGE_BYTES && !services.is_empty() {
-                more = true;
-                break;
-            }
-            bytes += size;
-            let service = service.clone();
-            services.push(VersionedService { version, service });
-        }
-        ConfigPage {
-            since: pull.since,
-            after: pull.after,
-            to: self.version(),
-            digest: self.digest,
-            reset,
-            services,
-            removed: self.removed_after(pull),
-            more,
-        }
-    }
-
-    /// Asks for what is lacking here, going on with pages that have come already.
-    #[must_use]
-    pub fn pull(&self) -> ConfigPull {
-        match &self.staging {
-            Some(staging) if staging.complete => ConfigPull {
-                since: staging.first_to,
-                after: None,
-                whole: false,
-            },
-            Some(staging) => ConfigPull {
-                since: staging.since,
-                after: staging.after,
-                whole: staging.reset,
-            },
-            None => ConfigPull {
-                since: self.version(),
-                after: None,
-                whole: self.needs_whole,
-            },
-        }
-    }
-
-    /// Takes in a page from another node.
-    pub fn take_page(&mut self, page: ConfigPage) -> PageOutcome {
-        if page.to <= self.version() {
-            return PageOutcome::Known;
-        }
-        let is_whole = page.after.is_none() && !page.more;
-        match self.staging.take() {
-            Some(staging) if staging.complete && is_whole => self.finish(staging, page),
-            Some(staging) if staging.continues_with(&page) => self.extend(staging, page),
-            staging if page.since <= self.version() && page.after.is_none() => {
-                if is_whole {
-                    return self.apply(page);
-                }
-                let is_further = staging.is_some();
-                self.staging = staging.or_else(|| Some(Staging::new(page)));
-                if is_further {
-                    return PageOutcome::Known;
-                }
-                PageOutcome::Ask(self.pull())
-            }
-            staging => {
-                self.staging = staging;
-                PageOutcome::Known
-            }
-        }
-    }
-
-    /// Forgets pages of which no more came.
-    pub fn abandon_staging(&mut self) {
-        self.staging = None;
-    }
-
-    fn extend(&mut self, mut staging: Staging, page: ConfigPage) -> PageOutcome {
-        staging.add(page.services, page.more);
-        self.staging = Some(staging);
-        PageOutcome::Ask(self.pull())
-    }
-
-    fn finish(&mut self, staging: Staging, page: ConfigPage) -> PageOutcome {
-        let lacks_some = page.since > staging.first_to || page.to < staging.first_to;
-        if lacks_some || (page.reset && !staging.reset) {
-            self.staging = Some(staging);
-            return PageOutcome::Known;
-        }
-        let mut services = staging.services;
-        let mut removed = staging.removed;
-        for tag in &page.removed {
-            services.swap_remove(tag);
-        }
-        for it in page.services {
-            removed.retain(|tag| *tag != it.service.tag());
-            services.insert(it.service.tag(), it);
-        }
-        removed.extend(page.removed);
-        self.apply(ConfigPage {
-            since: staging.since,
-            after: None,
-            to: page.to,
-            digest: page.digest,
-            reset: staging.reset,
-            services: services.into_values().collect(),
-            removed,
-            more: false,
-        })
-    }
-
-    /// Puts the page's configuration in force, if its digest is the sender's.
-    ///
-    /// It may not be, where one of the two has skipped versions in which a service changed and
-    /// changed back.
-    fn apply(&mut self, page: ConfigPage) -> PageOutcome {
-        let mut removed = page.removed;
-        if page.reset {
-            let named: BTreeSet<ServiceTag> =
-                page.services.iter().map(|it| it.service.tag()).collect();
-            let unnamed = self.versions.keys().filter(|tag| !named.contains(tag));
-            removed.extend(unnamed.copied());
-        }
-        let digest = self.digest_after(&page.services, &removed);
-        if digest != page.digest {
-            return self.ask_whole();
-        }
-        if page.reset {
-            self.removals_after = page.to;
-        }
-        self.change(page.to, page.services, &removed);
-        PageOutcome::Adopted
-    }
-
-    /// Asks for all services, once; who puts this off asks again by [`pull`](Self::pull).
-    fn ask_whole(&mut self) -> PageOutcome {
-        if std::mem::replace(&mut self.needs_whole, true) {
-            return PageOutcome::Known;
-        }
-        PageOutcome::Ask(self.pull())
-    }
-
     /// The digest of the configuration after a change.
-    fn digest_after(&self, changed: &[VersionedService], removed: &[ServiceTag]) -> u64 {
+    pub(super) fn digest_after(&self, changed: &[VersionedService], removed: &[ServiceTag]) -> u64 {
         let mut digest = self.digest;
         let changed_tags = changed.iter().map(|it| it.service.tag());
         let touched: BTreeSet<ServiceTag> = removed.iter().copied().chain(changed_tags).collect();
@@ -280,7 +117,7 @@
     }
 
     /// Puts the next version in force.
-    fn change(
+    pub(super) fn change(
         &mut self,
         to: ConfigVersion,
         changed: Vec<VersionedService>,
@@ -322,32 +159,4 @@
             self.invariant_violations += 1;
         }
     }
-
-    fn versions_after(
-        &self,
-        after: Option<ServiceTag>,
-    ) -> impl Iterator<Item = (ServiceTag, ConfigVersion)> {
-        let from = match after {
-            Some(tag) => std::ops::Bound::Excluded(tag),
-            None => std::ops::Bound::Unbounded,
-        };
-        self.versions
-            .range((from, std::ops::Bound::Unbounded))
-            .map(|(tag, version)| (*tag, *version))
-    }
-
-    fn removed_after(&self, pull: ConfigPull) -> Vec<ServiceTag> {
-        if pull.after.is_some() {
-            return Vec::new();
-        }
-        self.removals
-            .iter()
-            .filter(|(_, version)| **version > pull.since)
-            .map(|(tag, _)| *tag)
-            .collect()
-    }
-}
-
-fn encoded_bytes(service: &Arc<Service>) -> usize {
-    postcard::to_stdvec(&**service).map_or(ConfigBook::PAGE_BYTES, |bytes| bytes.len())
 }
