fix(core): answers to a heartbeat are of the agent that sent it

An agent at the address of another service's agent, with a clock that lags, was answered with that service's configuration and peers, since the balancer still held the older record; the agent refused them and counted a violation. The scenario address_reuse with a lagging clock failed first. Answers now name the incarnation of the heartbeat, carry nothing of another record, and are ignored by an agent of another incarnation. In random runs the settings name all balancers: a node whose settings name only dead ones can't be found, as the run with three kills and a new balancer showed.

--- a/arbutus-core/src/membership/agent_node/node.rs
+++ b/arbutus-core/src/membership/agent_node/node.rs
@@ -174,9 +174,7 @@
         };
         self.traffic.count_received(message.class(), payload.len());
         match message {
-            Message::HeartbeatAck(ack) if ack.tunnel == self.record.tunnel => {
-                self.on_ack(from, ack, now);
-            }
+            Message::HeartbeatAck(ack) if self.is_answered_by(&ack) => self.on_ack(from, ack, now),
             Message::Probe(tunnel) if tunnel == self.record.tunnel => {
                 self.send_heartbeat(from, now);
             }
@@ -184,6 +182,11 @@
         }
     }
 
+    /// Whether the answer is to this agent, and not to one that had its address before.
+    fn is_answered_by(&self, ack: &HeartbeatAck) -> bool {
+        ack.tunnel == self.record.tunnel && ack.incarnation == self.record.incarnation
+    }
+
     fn on_ack(&mut self, from: SocketAddrV4, ack: HeartbeatAck, now: Timestamp) {
         self.note_answer(from, ack.known, now);
         self.compare_rank(&ack, now);
--- a/arbutus-core/src/membership/balancer_node/agents.rs
+++ b/arbutus-core/src/membership/balancer_node/agents.rs
@@ -73,7 +73,11 @@
         conflict: bool,
     ) -> HeartbeatAck {
         let tunnel = heartbeat.tunnel;
-        let agent = self.roster.agent(tunnel);
+        let incarnation = heartbeat.rank.incarnation;
+        let agent = self
+            .roster
+            .agent(tunnel)
+            .filter(|agent| agent.incarnation == incarnation && !conflict);
         let tag = agent.map(|agent| agent.tag);
         let failure_domain = agent.map(|agent| agent.failure_domain.clone());
         let service = tag.and_then(|tag| self.book.service_after(tag, heartbeat.service_version));
@@ -85,6 +89,7 @@
             .map(|domain| self.homes.homes(tunnel, &domain, &self.settings));
         HeartbeatAck {
             tunnel,
+            incarnation,
             known,
             conflict,
             config_version: self.book.version(),
--- a/arbutus-core/src/membership/heartbeat_ack.rs
+++ b/arbutus-core/src/membership/heartbeat_ack.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     config::ConfigVersion,
+    ident::Incarnation,
     roster::{AgentRecord, Rank},
     spread::VersionedService,
 };
@@ -13,6 +14,8 @@
 pub struct HeartbeatAck {
     /// The agent's tunnel address.
     pub tunnel: SocketAddrV4,
+    /// The incarnation of the heartbeat; an answer to another one's is ignored.
+    pub incarnation: Incarnation,
     /// The rank of the record that the balancer holds, if it holds one.
     ///
     /// Where it is above the agent's own, the agent goes above it.
--- a/arbutus-core/tests/membership/random_runs.rs
+++ b/arbutus-core/tests/membership/random_runs.rs
@@ -54,6 +54,8 @@
 
 fn start(seed: u64) -> World {
     let mut world = World::new(seed);
+    // A node whose settings name only balancers that are dead can't be found by anyone.
+    world.named_balancers = usize::MAX;
     world.apply(&SERVICES);
     for index in 0..6 {
         world.start_balancer(&format!("b{index}"), DOMAINS[index % 3]);
--- a/arbutus-core/tests/membership/script.rs
+++ b/arbutus-core/tests/membership/script.rs
@@ -36,6 +36,7 @@
             "leave" => world.leave(next()?),
             // Cuts two failure domains from each other.
             "cut" => world.network.cut(next()?, next()?),
+            "clock-lag" => world.clock_lag_ms = next()?.parse()?,
             "loss" => world.network.loss_percent = next()?.parse()?,
             "jitter" => world.network.jitter_ms = next()?.parse()?,
             "heal" => world.network.heal(),
