test(core): property tests of the decoders; feat(bench): requests

Cause: decoders read a stranger's bytes; each is fed whole, changed, cut and random ones. The measurement of queue bound, retry budget and the cost of a request drives the real machine with fakes of backend servers.

--- a/arbutus-bench/src/lib.rs
+++ b/arbutus-bench/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod bench_error;
 pub mod data_path;
 pub mod policy;
+pub mod requests;
--- a/arbutus-bench/src/main.rs
+++ b/arbutus-bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use arbutus_bench::{bench_error::BenchError, data_path, policy};
+use arbutus_bench::{bench_error::BenchError, data_path, policy, requests};
 use error_stack::{Report, ResultExt};
 use lexopt::{Arg, Parser};
 
@@ -12,6 +12,7 @@
 Measurements:
   data-path  datagrams a second, beside a relay that decides nothing
   policy     how new flows are spread over backend servers
+  requests   queue bound, retry budget and cost of the decisions on requests
 
 Options:
   -h, --help       print this page, or that of a measurement
@@ -41,6 +42,7 @@
         Some(Arg::Value(name)) => match name.to_str() {
             Some("data-path") => return data_path::run(parser),
             Some("policy") => return policy::run(parser),
+            Some("requests") => return requests::run(parser),
             _ => return Err(Report::new(BenchError::Usage).attach("no such measurement")),
         },
         Some(other) => {
--- /dev/null
+++ b/arbutus-bench/src/requests.rs
@@ -0,0 +1,34 @@
+//! What the decisions on requests cost and bring: queue bound, retry budget, cost of an admission.
+//!
+//! The machines are the real ones; backend servers are small fakes with exponential service times.
+
+mod admission_cost;
+mod fleet;
+mod load;
+mod options;
+mod plain_queue;
+mod queue_bound;
+mod retry_storm;
+mod tally;
+
+use error_stack::Report;
+use lexopt::Parser;
+
+use crate::bench_error::BenchError;
+
+/// Runs the measurements and prints their tables.
+///
+/// # Errors
+///
+/// Fails where the command line is not understood.
+pub fn run(parser: &mut Parser) -> Result<(), Report<BenchError>> {
+    let Some(options) = options::Options::parse(parser)? else {
+        println!("{}", options::HELP);
+        return Ok(());
+    };
+    println!("seed {}, {} s a row", options.seed, options.seconds);
+    queue_bound::print(&options);
+    retry_storm::print(&options);
+    admission_cost::print(&options);
+    Ok(())
+}
--- /dev/null
+++ b/arbutus-bench/src/requests/admission_cost.rs
@@ -0,0 +1,97 @@
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use arbutus_core::{
+    config::{Balance, RequestPolicy},
+    ident::{Incarnation, ServiceTag},
+    keys::{KeyRing, SystemKey},
+    request::{
+        Action, AgentIdentity, Attempt, Event, Method, RequestHead, RequestId, RequestMachine,
+        UpstreamHead,
+    },
+    time::Timestamp,
+};
+
+use super::options::Options;
+
+const REQUESTS: u64 = 200_000;
+/// Kept below the bound of remembered keys.
+const BOUND_REQUESTS: u64 = 90_000;
+
+/// Times whole requests on one core: arrival, connection, response's head and end.
+pub(super) fn print(options: &Options) {
+    println!("\ncost of a request, four events each, one core");
+    let mut machine = machine(options.seed);
+    let head = RequestHead::new(Method::Get, "/codes");
+    let time = serve(&mut machine, 0..REQUESTS, |_| head.clone());
+    line("repeatable", REQUESTS, time);
+
+    let token = offered(&mut machine);
+    let head = RequestHead::new(Method::Other, "/confirm").binding(&token);
+    let heads = |number: u64| head.clone().idempotency_key(&format!("key-{number}"));
+    let first = REQUESTS + 1;
+    let time = serve(&mut machine, first..first + BOUND_REQUESTS, heads);
+    line("bound", BOUND_REQUESTS, time);
+    let counters = machine.counters();
+    println!(
+        "{} ran, {} keys remembered, {} invariant violations",
+        counters.ran,
+        machine.keys_remembered(),
+        counters.invariant_violations
+    );
+}
+
+fn line(kind: &str, requests: u64, time: Duration) {
+    let each = time / u32::try_from(requests).unwrap_or(u32::MAX);
+    let per_second = Duration::from_secs(1).as_nanos() / each.as_nanos().max(1);
+    println!(
+        "{kind:<11} {:>6} ns a request, {per_second} requests/s",
+        each.as_nanos()
+    );
+}
+
+fn serve(
+    machine: &mut RequestMachine,
+    numbers: std::ops::Range<u64>,
+    head_of: impl Fn(u64) -> RequestHead,
+) -> Duration {
+    let start = Instant::now();
+    for number in numbers {
+        let now = Timestamp::from_micros(number);
+        let request = RequestId::new(number);
+        let attempt = Attempt::new(request, 1);
+        let head = head_of(number);
+        machine.handle(Event::Arrived { request, head }, now);
+        machine.handle(Event::Connected { attempt }, now);
+        let head = UpstreamHead::new(200);
+        machine.handle(Event::UpstreamHead { attempt, head }, now);
+        machine.handle(Event::UpstreamEnded { attempt }, now);
+    }
+    start.elapsed()
+}
+
+fn offered(machine: &mut RequestMachine) -> String {
+    let request = RequestId::new(REQUESTS);
+    let head = RequestHead::new(Method::Other, "/confirm").idempotency_key("first");
+    let actions = machine.handle(Event::Arrived { request, head }, Timestamp::ZERO);
+    match &actions[..] {
+        [Action::Answer { answer, .. }] => answer.offer.as_deref().unwrap_or_default().to_owned(),
+        _ => String::new(),
+    }
+}
+
+fn machine(seed: u64) -> RequestMachine {
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
+    let identity = AgentIdentity {
+        tunnel: address,
+        control: address,
+        tag: ServiceTag::of_name("lookup"),
+        incarnation: Incarnation::new(1),
+    };
+    let keys = Arc::new(KeyRing::single(SystemKey::derive(&[1; 32])));
+    let policy = RequestPolicy::new();
+    RequestMachine::new(identity, policy, Balance::Stay, keys, seed, Timestamp::ZERO)
+}
--- /dev/null
+++ b/arbutus-bench/src/requests/plain_queue.rs
@@ -0,0 +1,60 @@
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    time::Duration,
+};
+
+use arbutus_core::time::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{load::Load, tally::Tally};
+
+/// The baseline: slots behind a queue without bounds, whose requests run even when their callers
+/// have gone.
+pub(super) fn run(load: &Load, seed: u64, time: Duration) -> Tally {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut exponential = |mean_s: f64| {
+        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+        Duration::from_secs_f64(-uniform.ln() * mean_s)
+    };
+    let service_s = load.mean_service.as_secs_f64();
+    let percent = f64::from(load.offered_percent);
+    let gap_s = service_s / f64::from(load.policy.slots) * 100.0 / percent;
+    let deadline = Duration::from_millis(load.policy.deadline_ms);
+    let end = Timestamp::ZERO + time;
+
+    let mut tally = Tally::new();
+    let mut queue: VecDeque<Timestamp> = VecDeque::new();
+    let mut running: BinaryHeap<Reverse<(Timestamp, Timestamp)>> = BinaryHeap::new();
+    let mut arrival = Timestamp::ZERO;
+    while arrival <= end {
+        while let Some(Reverse((done, since))) = running.peek().copied() {
+            if done > arrival {
+                break;
+            }
+            running.pop();
+            let after = done.since(since);
+            if after <= deadline {
+                tally.answer(after);
+            } else {
+                tally.wasted += 1;
+                tally.unknown += 1;
+                tally.refuse(deadline);
+            }
+            if let Some(next) = queue.pop_front() {
+                tally.attempts += 1;
+                running.push(Reverse((done + exponential(service_s), next)));
+            }
+        }
+        tally.requests += 1;
+        if running.len() < load.policy.slots as usize {
+            tally.attempts += 1;
+            running.push(Reverse((arrival + exponential(service_s), arrival)));
+        } else {
+            queue.push_back(arrival);
+        }
+        arrival = arrival + exponential(gap_s);
+    }
+    tally
+}
--- /dev/null
+++ b/arbutus-core/tests/decoders.rs
@@ -0,0 +1,220 @@
+//! Decoders that read from the network, fed with whole, changed, cut and random bytes.
+//!
+//! `PROPTEST_CASES` sets the number of runs of each property, `PROPTEST_RNG_SEED` the seed.
+
+use std::net::SocketAddrV4;
+
+use arbutus_core::{
+    binding::{self, BindingClaim, BindingError, MAX_TOKEN_CHARS},
+    cid::{self, CID_BYTES, FlowOwner},
+    ident::{Incarnation, ServiceTag},
+    keys::{KeyRing, SystemKey},
+    quic::{self, PacketShape},
+    time::Timestamp,
+    tunnel::{self, Candidates, Endpoints, MAX_PAYLOAD_BYTES, TunnelHeader},
+};
+use proptest::{
+    collection::vec,
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const SEED: u64 = 20_261_203;
+
+fn config() -> Config {
+    let mut cfg = Config {
+        failure_persistence: None,
+        ..Config::default()
+    };
+    if std::env::var_os("PROPTEST_RNG_SEED").is_none() {
+        cfg.rng_seed = RngSeed::Fixed(SEED);
+    }
+    cfg
+}
+
+fn keys() -> KeyRing {
+    KeyRing::new([(2, SystemKey::derive(&[5; 32]))], 2).unwrap()
+}
+
+fn other_keys() -> KeyRing {
+    KeyRing::new([(2, SystemKey::derive(&[6; 32]))], 2).unwrap()
+}
+
+fn address() -> impl Strategy<Value = SocketAddrV4> {
+    (any::<[u8; 4]>(), any::<u16>()).prop_map(|(ip, port)| SocketAddrV4::new(ip.into(), port))
+}
+
+fn header() -> impl Strategy<Value = TunnelHeader> {
+    let candidates = vec(address(), 0..=Candidates::MAX);
+    (address(), address(), any::<u32>(), any::<u8>(), candidates).prop_map(
+        |(source, destination, tag, hops, candidates)| {
+            let ends = Endpoints {
+                source,
+                destination,
+            };
+            TunnelHeader::new(ends, ServiceTag::new(tag))
+                .hops(hops)
+                .candidates(candidates.into_iter().collect())
+        },
+    )
+}
+
+fn claim() -> impl Strategy<Value = BindingClaim> {
+    let numbers = any::<(u64, u64, u64, u64)>();
+    (address(), address(), any::<u32>(), numbers).prop_map(|(tunnel, control, tag, numbers)| {
+        let (incarnation, instance, serial, expires) = numbers;
+        let incarnation = Incarnation::new(incarnation);
+        BindingClaim::new(tunnel, control, ServiceTag::new(tag), incarnation)
+            .instance(instance)
+            .serial(serial)
+            .expires(Timestamp::from_micros(expires))
+    })
+}
+
+/// The bytes with one of them changed.
+fn changed(bytes: &[u8], at: prop::sample::Index, by: u8) -> Vec<u8> {
+    let mut bytes = bytes.to_vec();
+    let at = at.index(bytes.len());
+    bytes[at] ^= by.max(1);
+    bytes
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn tunnel_datagrams_come_back_as_they_were(
+        header in header(),
+        payload in vec(any::<u8>(), 0..=MAX_PAYLOAD_BYTES),
+    ) {
+        let mut datagram = Vec::new();
+        tunnel::encode(&header, &payload, &keys(), &mut datagram).unwrap();
+        prop_assert_eq!(tunnel::decode(&datagram, &keys()), Ok((header, &payload[..])));
+        prop_assert!(tunnel::decode(&datagram, &other_keys()).is_err());
+    }
+
+    #[test]
+    fn a_changed_or_cut_tunnel_header_is_refused(
+        header in header(),
+        payload in vec(any::<u8>(), 0..=64),
+        at in any::<prop::sample::Index>(),
+        by in any::<u8>(),
+    ) {
+        let mut datagram = Vec::new();
+        tunnel::encode(&header, &payload, &keys(), &mut datagram).unwrap();
+        let cut = at.index(datagram.len());
+        prop_assert!(tunnel::decode(&changed(&datagram, at, by), &keys()).is_err());
+        prop_assert!(tunnel::decode(&datagram[..cut], &keys()).is_err());
+    }
+
+    #[test]
+    fn fabric_datagrams_come_back_and_changed_ones_are_survived(
+        source in address(),
+        destination in address(),
+        payload in vec(any::<u8>(), 0..200),
+        at in any::<prop::sample::Index>(),
+        by in any::<u8>(),
+    ) {
+        let ends = Endpoints { source, destination };
+        let mut datagram = Vec::new();
+        tunnel::encode_fabric(&ends, &payload, &mut datagram).unwrap();
+        prop_assert_eq!(tunnel::decode_fabric(&datagram), Ok((ends, &payload[..])));
+        if let Ok((_, rest)) = tunnel::decode_fabric(&changed(&datagram, at, by)) {
+            prop_assert!(rest.len() <= MAX_PAYLOAD_BYTES);
+        }
+    }
+
+    #[test]
+    fn connection_ids_name_their_owner_and_changed_ones_nobody(
+        agent in address(),
+        tag in any::<u32>(),
+        incarnation in any::<u64>(),
+        seed in any::<u64>(),
+        at in any::<prop::sample::Index>(),
+        by in any::<u8>(),
+    ) {
+        let owner = FlowOwner::new(agent, ServiceTag::new(tag), Incarnation::new(incarnation));
+        let id = cid::encode(&owner, &keys(), &mut ChaCha8Rng::seed_from_u64(seed));
+        prop_assert_eq!(cid::decode(&id, &keys()), Ok(owner));
+        prop_assert!(cid::decode(&changed(&id, at, by), &keys()).is_err());
+        prop_assert!(cid::decode(&id, &other_keys()).is_err());
+        prop_assert!(cid::decode(&id[..at.index(CID_BYTES)], &keys()).is_err());
+    }
+
+    #[test]
+    fn bindings_come_back_and_changed_or_cut_ones_are_refused(
+        claim in claim(),
+        at in any::<prop::sample::Index>(),
+        letter in prop::sample::select(b"ABYZabyz0189-_=+/ \x7f".to_vec()),
+    ) {
+        let token = binding::encode(&claim, &keys());
+        prop_assert!(token.len() <= MAX_TOKEN_CHARS);
+        prop_assert_eq!(binding::decode(&token, &keys()), Ok(claim));
+        prop_assert_eq!(binding::decode(&token, &other_keys()), Err(BindingError::Mac));
+        let cut = at.index(token.len());
+        prop_assert!(binding::decode(&token[..cut], &keys()).is_err());
+        let mut changed = token.clone().into_bytes();
+        changed[cut] = letter;
+        let changed = String::from_utf8(changed).unwrap();
+        prop_assert!(changed == token || binding::decode(&changed, &keys()).is_err());
+    }
+
+    #[test]
+    fn random_bytes_are_survived_and_named_by_nobody(bytes in vec(any::<u8>(), 0..1_600)) {
+        prop_assert!(tunnel::decode(&bytes, &keys()).is_err());
+        prop_assert!(cid::decode(&bytes, &keys()).is_err());
+        prop_assert!(binding::decode(&String::from_utf8_lossy(&bytes), &keys()).is_err());
+        let _ = tunnel::decode_fabric(&bytes);
+        if let Ok(shape) = quic::inspect(&bytes) {
+            prop_assert!(shape.dcid().len() < bytes.len());
+        }
+    }
+
+    #[test]
+    fn proxy_headers_of_random_fields_are_survived(fields in vec(any::<u8>(), 0..300)) {
+        let mut bytes = b"\r\n\r\n\0\r\nQUIT\n\x21\x12".to_vec();
+        bytes.extend_from_slice(&u16::try_from(fields.len()).unwrap().to_be_bytes());
+        bytes.extend_from_slice(&fields);
+        prop_assert!(tunnel::decode(&bytes, &keys()).is_err());
+        let _ = tunnel::decode_fabric(&bytes);
+    }
+}
+
+#[derive(Debug)]
+struct ShapeCase {
+    datagram: Vec<u8>,
+    expected: Option<PacketShape<'static>>,
+}
+
+#[rstest]
+#[case::nothing_is_no_packet(ShapeCase { datagram: vec![], expected: None })]
+#[case::a_short_header_needs_its_whole_id(ShapeCase {
+    datagram: vec![0x40; CID_BYTES],
+    expected: None,
+})]
+#[case::a_short_header_names_its_id(ShapeCase {
+    datagram: vec![0x40; CID_BYTES + 1],
+    expected: Some(PacketShape::Short { dcid: &[0x40; CID_BYTES] }),
+})]
+#[case::an_initial_opens_a_flow(ShapeCase {
+    datagram: vec![0xc0, 0, 0, 0, 1, 2, 7, 8],
+    expected: Some(PacketShape::Opening { dcid: &[7, 8], full_size: false }),
+})]
+#[case::a_handshake_packet_does_not(ShapeCase {
+    datagram: vec![0xe0, 0, 0, 0, 1, 2, 7, 8],
+    expected: Some(PacketShape::Long { dcid: &[7, 8] }),
+})]
+#[case::version_negotiation_does_not(ShapeCase {
+    datagram: vec![0xc0, 0, 0, 0, 0, 2, 7, 8],
+    expected: Some(PacketShape::Long { dcid: &[7, 8] }),
+})]
+#[case::an_id_past_the_end_is_no_packet(ShapeCase {
+    datagram: vec![0xc0, 0, 0, 0, 1, 3, 7, 8],
+    expected: None,
+})]
+fn the_shape_of_a_packet(#[case] case: ShapeCase) {
+    assert_eq!(quic::inspect(&case.datagram).ok(), case.expected);
+}
