--- a/arbutus-bench/src/requests/tally.rs
+++ b/arbutus-bench/src/requests/tally.rs
@@ -2,6 +2,8 @@
 
 use hdrhistogram::Histogram;
 
+const LONGEST_MICROS: u64 = 3_600_000_000;
+
 /// What callers saw in one run.
 #[derive(Debug)]
 pub(super) struct Tally {
@@ -22,7 +24,8 @@
 
 impl Tally {
     pub(super) fn new() -> Self {
-        let histogram = || Histogram::new(3).expect("three digits are within the library's bounds");
+        let histogram =
+            || Histogram::new_with_max(LONGEST_MICROS, 3).expect("the library takes these bounds");
         Self {
             requests: 0,
             in_time: 0,
