fix(ctl): a node that nobody hears is told at once and not waited for

Cause, seen on a deployment of five processes: with one agent killed, apply spent its whole 14 s on it and printed a line for each round; status piped into head panicked; nodes stood in the order of the roster. A suspect node without an answer is now listed at once, still with exit code 6; progress is told when it changes; output to a closed pipe is dropped. The daemons and the command line share one way to tell findings, arbutus_settings::describe.

--- a/arbutus-settings/src/lib.rs
+++ b/arbutus-settings/src/lib.rs
@@ -24,6 +24,7 @@
 
 pub mod agent;
 pub mod balancer;
+mod describe;
 pub mod document;
 mod file;
 pub mod findings;
@@ -36,5 +37,6 @@
 pub mod store;
 pub mod tls;
 
+pub use describe::{describe, findings};
 pub use file::load;
 pub use settings_error::SettingsError;
--- a/arbutusctl/src/command/apply.rs
+++ b/arbutusctl/src/command/apply.rs
@@ -18,6 +18,7 @@
     fleet::{self, AdminClient},
     folder,
     options::Options,
+    output,
 };
 
 /// Brings the files into force and waits for the nodes.
@@ -41,7 +42,7 @@
     let mut report = ApplyReport::new(outcome);
     if let Some(version) = report.version_in_force() {
         if !options.json {
-            println!("{}", report.headline());
+            output::line(format_args!("{}", report.headline()));
         }
         report.nodes = Some(wait(options, &connection, version, clock).await);
     }
@@ -139,9 +140,10 @@
     if connection.admin.is_empty() {
         return NodesReport::NotAsked;
     }
+    let mut told = None;
     let progress = |in_force: usize, all: usize| {
-        if !options.json {
-            println!("in force at {in_force} of {all} nodes");
+        if !options.json && told.replace((in_force, all)) != Some((in_force, all)) {
+            output::line(format_args!("in force at {in_force} of {all} nodes"));
         }
     };
     let client = AdminClient::new();
--- a/arbutusctl/src/command/check.rs
+++ b/arbutusctl/src/command/check.rs
@@ -1,7 +1,7 @@
 use error_stack::Report;
 use serde_json::json;
 
-use crate::{CtlError, ExitStatus, folder, options::Options};
+use crate::{CtlError, ExitStatus, folder, options::Options, output};
 
 /// Checks the files of the folder.
 pub(super) fn run(options: &Options) -> Result<ExitStatus, Report<CtlError>> {
@@ -13,16 +13,16 @@
             .iter()
             .map(|it| it.display().to_string())
             .collect();
-        println!(
+        output::line(format_args!(
             "{}",
             json!({ "files": files, "services": names, "findings": [] })
-        );
+        ));
     } else {
-        println!(
+        output::line(format_args!(
             "{} files, {} services, no findings",
             loaded.files.len(),
             names.len()
-        );
+        ));
     }
     Ok(ExitStatus::Done)
 }
--- a/arbutusctl/src/command/diff.rs
+++ b/arbutusctl/src/command/diff.rs
@@ -3,7 +3,7 @@
 use error_stack::{Report, ResultExt};
 use serde_json::json;
 
-use crate::{CtlError, ExitStatus, connection::Connection, folder, options::Options};
+use crate::{CtlError, ExitStatus, connection::Connection, folder, options::Options, output};
 
 /// Shows how the files differ from what is in force.
 pub(super) async fn run(options: &Options) -> Result<ExitStatus, Report<CtlError>> {
@@ -15,9 +15,12 @@
     if options.json {
         let lines = lines(&differences);
         let version = stored.version().get();
-        println!("{}", json!({ "version": version, "differences": lines }));
+        output::line(format_args!(
+            "{}",
+            json!({ "version": version, "differences": lines })
+        ));
     } else {
-        println!("against version {}:", stored.version());
+        output::line(format_args!("against version {}:", stored.version()));
         print_all(&differences);
     }
     Ok(if differences.is_empty() {
@@ -35,9 +38,9 @@
 /// Prints the differences, each on a line of its own.
 pub(super) fn print_all(differences: &[Difference]) {
     for difference in differences {
-        println!("  {difference}");
+        output::line(format_args!("  {difference}"));
     }
     if differences.is_empty() {
-        println!("  no differences");
+        output::line(format_args!("  no differences"));
     }
 }
--- a/arbutusctl/src/command/explain.rs
+++ b/arbutusctl/src/command/explain.rs
@@ -20,6 +20,7 @@
     fleet::{self, AdminClient},
     folder,
     options::Options,
+    output,
 };
 
 /// Length of the datagram that stands for the packet, as an Initial must have.
@@ -52,10 +53,10 @@
     let forward = route::forward(&table, &keys, packet.endpoints, &packet.datagram(&keys));
     let lines = describe(&forward, &roster);
     if options.json {
-        println!("{}", json!({ "explanation": lines }));
+        output::line(format_args!("{}", json!({ "explanation": lines })));
     } else {
         for line in &lines {
-            println!("{line}");
+            output::line(format_args!("{line}"));
         }
     }
     Ok(ExitStatus::Done)
--- a/arbutusctl/src/command/keys.rs
+++ b/arbutusctl/src/command/keys.rs
@@ -6,7 +6,7 @@
 use arbutus_settings::key_set::{KeySet, KeySetError, RotationStep};
 use error_stack::Report;
 
-use crate::{CtlError, ExitStatus, options::Options};
+use crate::{CtlError, ExitStatus, options::Options, output};
 
 /// Makes, extends or rotates a set of keys.
 pub(super) fn run(options: &Options) -> Result<ExitStatus, Report<CtlError>> {
@@ -25,7 +25,7 @@
 
 fn init(folder: &Path, services: &[&str]) -> Result<ExitStatus, Report<CtlError>> {
     KeySet::create(folder, services, now_unix_s()).map_err(failed)?;
-    println!("made a set of keys in {}", folder.display());
+    output::line(format_args!("made a set of keys in {}", folder.display()));
     Ok(ExitStatus::Done)
 }
 
@@ -33,7 +33,7 @@
     let set = KeySet::open(folder, now_unix_s());
     for service in services {
         set.add_service(service).map_err(failed)?;
-        println!("issued a certificate for {service}");
+        output::line(format_args!("issued a certificate for {service}"));
     }
     Ok(ExitStatus::Done)
 }
@@ -41,7 +41,7 @@
 fn rotate(folder: &Path, step: RotationStep) -> Result<ExitStatus, Report<CtlError>> {
     let set = KeySet::open(folder, now_unix_s());
     set.rotate(step).map_err(failed)?;
-    println!("{}", next_step(step));
+    output::line(format_args!("{}", next_step(step)));
     Ok(ExitStatus::Done)
 }
 
--- a/arbutusctl/src/command/report.rs
+++ b/arbutusctl/src/command/report.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use super::diff::{lines, print_all};
-use crate::{ExitStatus, fleet::NodeVersion};
+use crate::{ExitStatus, fleet::NodeVersion, output};
 
 /// The end of a change.
 #[derive(Debug)]
@@ -81,7 +81,7 @@
     /// Prints the report and says how the program ends.
     pub(super) fn print(&self, json: bool) -> ExitStatus {
         if json {
-            println!("{}", self.json());
+            output::line(format_args!("{}", self.json()));
         } else {
             self.print_text();
         }
@@ -90,17 +90,19 @@
 
     fn print_text(&self) {
         if self.nodes.is_none() {
-            println!("{}", self.headline());
+            output::line(format_args!("{}", self.headline()));
         }
         if let Outcome::LostRace {
             version, theirs, ..
         } = &self.outcome
         {
             if !theirs.is_empty() {
-                println!("what changed against the base of the folder:");
+                output::line(format_args!("what changed against the base of the folder:"));
                 print_all(theirs);
             }
-            println!("bring it into the files, or put them over it with --onto {version}");
+            output::line(format_args!(
+                "bring it into the files, or put them over it with --onto {version}"
+            ));
         }
         if let Some(nodes) = &self.nodes {
             nodes.print_text();
@@ -162,18 +164,25 @@
 
     fn print_text(&self) {
         match self {
-            Self::NotAsked => println!("nodes were not asked: no --admin is given"),
-            Self::Unreachable(reason) => println!("nodes could not be asked: {reason}"),
+            Self::NotAsked => {
+                output::line(format_args!("nodes were not asked: no --admin is given"));
+            }
+            Self::Unreachable(reason) => {
+                output::line(format_args!("nodes could not be asked: {reason}"));
+            }
             Self::Asked {
                 version,
                 nodes,
                 took,
             } => {
                 for node in nodes.iter().filter(|it| !it.has(*version)) {
-                    println!("not in force at {}", describe(node));
+                    output::line(format_args!("not in force at {}", describe(node)));
                 }
                 if self.is_everywhere() {
-                    println!("in force everywhere after {} ms", took.as_millis());
+                    output::line(format_args!(
+                        "in force everywhere after {} ms",
+                        took.as_millis()
+                    ));
                 }
             }
         }
--- a/arbutusctl/src/command/status.rs
+++ b/arbutusctl/src/command/status.rs
@@ -12,6 +12,7 @@
     connection::Connection,
     fleet::{self, AdminClient, NodeVersion},
     options::Options,
+    output,
 };
 
 /// What the store and the nodes tell.
@@ -43,7 +44,7 @@
         nodes,
     };
     if options.json {
-        println!("{}", status.json());
+        output::line(format_args!("{}", status.json()));
     } else {
         status.print();
     }
@@ -53,18 +54,18 @@
 impl Status {
     fn print(&self) {
         match &self.stored {
-            None => println!("store: not asked; no --store is given"),
-            Some(Err(reason)) => println!("store: {reason}"),
+            None => output::line(format_args!("store: not asked; no --store is given")),
+            Some(Err(reason)) => output::line(format_args!("store: {reason}")),
             Some(Ok(stored)) => {
-                println!(
+                output::line(format_args!(
                     "store: version {} by {}",
                     stored.version(),
                     stored.made_by()
-                );
-                println!("{}", self.services(stored));
+                ));
+                output::line(format_args!("{}", self.services(stored)));
             }
         }
-        println!("{}", self.node_table());
+        output::line(format_args!("{}", self.node_table()));
     }
 
     fn services(&self, stored: &Stored) -> Table {
--- a/arbutusctl/src/command/watch.rs
+++ b/arbutusctl/src/command/watch.rs
@@ -7,6 +7,7 @@
     connection::Connection,
     fleet::{self, AdminClient, NodeVersion},
     options::Options,
+    output,
 };
 
 /// Pause between two rounds of asking.
@@ -21,7 +22,7 @@
     loop {
         match fleet::roster(&client, &connection.admin).await {
             Err(report) if *report.current_context() == CtlError::Usage => return Err(report),
-            Err(report) => println!("event=unreachable reason=\"{report:#}\""),
+            Err(report) => output::line(format_args!("event=unreachable reason=\"{report:#}\"")),
             Ok(roster) => {
                 let now = fleet::versions(&client, fleet::nodes(&roster)).await;
                 print_changes(&seen, &now);
@@ -51,11 +52,11 @@
 fn print_line(event: &str, it: &NodeVersion) {
     let node = &it.node;
     let version = it.version.map_or("none".to_owned(), |it| it.to_string());
-    println!(
+    output::line(format_args!(
         "event={event} name={} role={} state={} version={version} admin={}",
         node.name,
         node.role.name(),
         node.state,
         node.admin
-    );
+    ));
 }
--- a/arbutusctl/src/fleet/node.rs
+++ b/arbutusctl/src/fleet/node.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 /// What a node does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Role {
     /// It forwards packets.
@@ -48,6 +48,12 @@
 }
 
 impl NodeVersion {
+    /// Whether nothing is to be waited for: the node has `version` or a later one in force, or
+    /// neither the roster's keepers nor the operator hear it.
+    pub(crate) fn is_settled(&self, version: u64) -> bool {
+        self.has(version) || self.version.is_none() && &*self.node.state == "suspect"
+    }
+
     /// Whether the node has `version` or a later one in force.
     pub(crate) fn has(&self, version: u64) -> bool {
         self.version.is_some_and(|it| it >= version)
--- a/arbutusctl/src/fleet/survey.rs
+++ b/arbutusctl/src/fleet/survey.rs
@@ -31,7 +31,7 @@
     Err(failure)
 }
 
-/// The nodes of a roster, without those that have gone.
+/// The nodes of a roster by their roles and names, without those that have gone.
 pub(crate) fn nodes(roster: &RosterView) -> Vec<Node> {
     let balancers = roster.balancers.iter().map(|it| Node {
         name: it.name.clone(),
@@ -48,7 +48,9 @@
         state: it.state.clone(),
     });
     let present = balancers.chain(agents).filter(|it| &*it.state != "gone");
-    present.collect()
+    let mut present: Vec<_> = present.collect();
+    present.sort_by(|left, right| (left.role, &left.name).cmp(&(right.role, &right.name)));
+    present
 }
 
 /// Asks each of `nodes` for the version it has in force.
@@ -81,8 +83,8 @@
 /// Waits until every node has `version` in force, or `wait` is over; `progress` is told the number
 /// of those that have it and of all.
 ///
-/// A node that has it is not asked again; the roster is read anew in each round, so that a node
-/// that went is not waited for.
+/// A node that has it is not asked again. The roster is read anew in each round, so that a node
+/// that went or is not heard any more is not waited for.
 pub(crate) async fn wait_for_version(
     client: &AdminClient,
     admin: &[SocketAddr],
@@ -100,7 +102,8 @@
         known.extend(versions(client, missing).await);
         let in_force = known.iter().filter(|it| it.has(version)).count();
         progress(in_force, known.len());
-        if in_force == known.len() || clock.elapsed() >= wait {
+        let settled = known.iter().all(|it| it.is_settled(version));
+        if settled || clock.elapsed() >= wait {
             return Ok(known);
         }
         tokio::time::sleep(ROUND_PAUSE).await;
--- a/arbutusctl/src/lib.rs
+++ b/arbutusctl/src/lib.rs
@@ -10,6 +10,7 @@
 mod folder;
 mod help;
 mod options;
+mod output;
 mod run;
 
 pub use ctl_error::CtlError;
--- a/arbutusctl/src/run.rs
+++ b/arbutusctl/src/run.rs
@@ -1,7 +1,6 @@
 use std::{ffi::OsString, process::ExitCode};
 
-use arbutus_settings::findings::{Finding, Findings};
-use error_stack::{AttachmentKind, FrameKind, Report};
+use error_stack::Report;
 use serde_json::json;
 
 use crate::{
@@ -9,6 +8,7 @@
     command::{self, Command},
     help,
     options::{Invocation, Options, parse},
+    output,
 };
 
 /// Runs the program with the arguments after its name.
@@ -26,7 +26,7 @@
 }
 
 fn print(text: &str) -> ExitCode {
-    print!("{text}");
+    output::text(text);
     ExitCode::SUCCESS
 }
 
@@ -38,36 +38,17 @@
     runtime.block_on(command::run(command, options))
 }
 
-/// Tells why a command failed: findings line by line, or the causes in one line.
+/// Tells why a command failed.
 fn fail(report: &Report<CtlError>, json: bool) -> ExitStatus {
-    let findings: Vec<&Finding> = report
-        .frames()
-        .filter_map(|frame| frame.downcast_ref::<Findings>())
-        .flat_map(Findings::iter)
-        .collect();
+    let text = arbutus_settings::describe(report);
+    let findings = arbutus_settings::findings(report);
+    let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
     if json {
-        let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
-        println!("{}", json!({ "error": causes(report), "findings": lines }));
-    } else if findings.is_empty() {
-        eprintln!("arbutusctl: {}", causes(report));
+        output::line(json!({ "error": text, "findings": lines }));
+    } else if lines.is_empty() {
+        eprintln!("arbutusctl: {text}");
     } else {
-        for finding in &findings {
-            eprintln!("{finding}");
-        }
-        eprintln!("arbutusctl: {} findings", findings.len());
+        eprintln!("{text}\narbutusctl: {} findings", lines.len());
     }
     report.current_context().status()
 }
-
-/// The contexts and printable attachments of a report, the outermost first.
-fn causes(report: &Report<CtlError>) -> String {
-    let parts = report.frames().filter_map(|frame| match frame.kind() {
-        FrameKind::Context(context) => Some(context.to_string()),
-        FrameKind::Attachment(AttachmentKind::Printable(it)) => {
-            let findings = frame.is::<Findings>();
-            (!findings).then(|| it.to_string())
-        }
-        FrameKind::Attachment(_) => None,
-    });
-    parts.collect::<Vec<_>>().join(": ")
-}
