--- a/arbutus-bench/src/lib.rs
+++ b/arbutus-bench/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod bench_error;
 pub mod data_path;
+pub mod membership;
 pub mod policy;
