--- a/arbutus-lab/src/experiment/config_watch.rs
+++ b/arbutus-lab/src/experiment/config_watch.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddrV4, time::Duration};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use futures_util::future;
 use serde_json::Value;
@@ -11,28 +11,42 @@
 
 /// The highest configuration version in force at any daemon.
 pub(super) async fn highest_version(live: &LiveNodes) -> u64 {
-    versions(live).await.into_iter().max().unwrap_or(0)
+    let versions = versions(live).await.into_iter();
+    versions.map(|(_, version)| version).max().unwrap_or(0)
 }
 
-/// Waits until every daemon that runs has a version above `old` in force, or a limit is over; the
-/// result is the time since `start`, in seconds.
-pub(super) async fn in_force_s(live: &LiveNodes, old: u64, start: Instant) -> f64 {
-    let everywhere = async {
-        while versions(live)
+/// How a change of configuration came into force.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct InForce {
+    /// Time since the change was begun, in seconds.
+    pub(super) seconds: f64,
+    /// Daemons that did not have it in force when the watch gave up.
+    pub(super) lagging: Vec<Arc<str>>,
+}
+
+/// Waits until every daemon that runs has a version above `old` in force, or a limit is over.
+pub(super) async fn in_force(live: &LiveNodes, old: u64, start: Instant) -> InForce {
+    let end = Instant::now() + LIMIT;
+    loop {
+        let lagging: Vec<_> = versions(live)
             .await
             .into_iter()
-            .any(|version| version <= old)
-        {
-            time::sleep(POLL).await;
+            .filter(|(_, version)| *version <= old)
+            .map(|(name, _)| name)
+            .collect();
+        if lagging.is_empty() || Instant::now() > end {
+            return InForce {
+                seconds: start.elapsed().as_secs_f64(),
+                lagging,
+            };
         }
-    };
-    let _ = time::timeout(LIMIT, everywhere).await;
-    start.elapsed().as_secs_f64()
+        time::sleep(POLL).await;
+    }
 }
 
-async fn versions(live: &LiveNodes) -> Vec<u64> {
-    let nodes = live.all();
-    future::join_all(nodes.into_values().map(version)).await
+async fn versions(live: &LiveNodes) -> Vec<(Arc<str>, u64)> {
+    let nodes = live.all().into_iter();
+    future::join_all(nodes.map(|(name, admin)| async move { (name, version(admin).await) })).await
 }
 
 async fn version(admin: SocketAddrV4) -> u64 {
--- a/arbutus-lab/src/experiment/timeline.rs
+++ b/arbutus-lab/src/experiment/timeline.rs
@@ -206,26 +206,30 @@
     loop {
         let old = config_watch::highest_version(live).await;
         let (start, now) = (Instant::now(), clock::now_micros());
-        let in_force = config_watch::in_force_s(live, old, start);
+        let in_force = config_watch::in_force(live, old, start);
         let mut in_force = std::pin::pin!(in_force);
-        let mut seconds = None;
+        let mut seen = None;
         let result = {
             let mut made = std::pin::pin!(make(operator, service, order, now));
             loop {
                 tokio::select! {
                     result = &mut made => break result,
-                    it = &mut in_force, if seconds.is_none() => seconds = Some(it),
+                    it = &mut in_force, if seen.is_none() => seen = Some(it),
                 }
             }
         };
         match result {
             Ok(change) => {
                 findings.change(change);
-                let seconds = match seconds {
-                    Some(seconds) => seconds,
+                let seen = match seen {
+                    Some(seen) => seen,
                     None => in_force.await,
                 };
-                findings.config_in_force(seconds);
+                findings.config_in_force(seen.seconds);
+                if !seen.lagging.is_empty() {
+                    let lagging = &seen.lagging;
+                    findings.problem(format!("{order:?}: never in force at {lagging:?}"));
+                }
                 return;
             }
             Err(error) if Instant::now() > patience => {
