fix(core): a repeat of a key that has run is answered 409, not with a bare status

Cause: the repeat got the remembered status without the body, so that a caller whose first answer was cut short took an empty 200 for the whole answer. Ruled out: truncation passed on as a clean end (the first attempts were reset as they should be).

--- a/arbutus-core/src/request.rs
+++ b/arbutus-core/src/request.rs
@@ -31,7 +31,8 @@
 //! See [`binding`](crate::binding) for the rules and the argument that a key runs at most once.
 //! A duplicate of a key in progress is answered 409 `unknown` with `Retry-After` at once rather
 //! than held until the first ends, since a held duplicate would itself need a place and a
-//! deadline; when the first has ended, a further attempt hears its outcome.
+//! deadline; when the first has ended, a further attempt hears its outcome. One whose key has run
+//! hears 409 `ran`: the answer is not kept, and its status alone would look like a whole answer.
 //!
 //! # Examples
 //!
--- a/arbutus-core/src/request/arrival.rs
+++ b/arbutus-core/src/request/arrival.rs
@@ -185,8 +185,9 @@
     fn answer_duplicate(&mut self, open: &OpenRequest, state: KeyState) {
         self.counters.duplicates += 1;
         match state {
-            KeyState::Ran { status } => {
-                let answer = Answer::new(status, Outcome::Ran, Refusal::Duplicate);
+            // The first answer's status without its body would look like a whole answer.
+            KeyState::Ran => {
+                let answer = Answer::new(409, Outcome::Ran, Refusal::Duplicate);
                 self.answer(open.request, answer);
             }
             KeyState::Pending => {
--- a/arbutus-core/src/request/key_memory.rs
+++ b/arbutus-core/src/request/key_memory.rs
@@ -24,10 +24,7 @@
     /// Its request is queued or in progress.
     Pending,
     /// The backend server answered it.
-    Ran {
-        /// The status of that answer.
-        status: u16,
-    },
+    Ran,
     /// It may have run.
     Unknown,
     /// It did not run, and must not under bindings with a serial number below this one.
--- a/arbutus-core/src/request/upstream.rs
+++ b/arbutus-core/src/request/upstream.rs
@@ -111,8 +111,7 @@
             let below = self.next_serial;
             KeyState::Closed { below }
         } else {
-            let status = head.status;
-            KeyState::Ran { status }
+            KeyState::Ran
         };
         self.memory.revise(key, state);
     }
@@ -134,8 +133,7 @@
             self.at_owners = self.at_owners.saturating_sub(1);
         }
         if let Some(key) = key {
-            let status = head.status;
-            self.memory.end(key, KeyState::Ran { status }, now);
+            self.memory.end(key, KeyState::Ran, now);
         }
         let offer = if renew { self.offer(now) } else { None };
         self.counters.ran += 1;
