fix(core): an agent that dies with all its homes is no candidate after three seconds

The scenario homes_die failed first, with the watch by the next responsible balancers broken: nothing had covered it. They now probe the agent at once instead of after a second of silence. A paused machine in the tests keeps only a few messages, as a full socket would, so that a balancer that counts its own pause as its agents' silence is noticed.

--- a/arbutus-core/src/membership/agent_watch.rs
+++ b/arbutus-core/src/membership/agent_watch.rs
@@ -75,16 +75,19 @@
         self.insert(tunnel, control, failure_domain, patience, now);
     }
 
-    /// Begins to watch an agent that was not heard here.
+    /// Begins to watch an agent that was not heard here; it is probed at once.
     pub fn watch(
         &mut self,
         tunnel: SocketAddrV4,
         control: SocketAddrV4,
         failure_domain: &Arc<str>,
+        settings: &Settings,
         now: Timestamp,
     ) {
         let patience = self.patience.get(&tunnel).copied().unwrap_or_default();
-        self.insert(tunnel, control, failure_domain, patience, now);
+        let silent_from = now.as_micros().saturating_sub(micros(settings.agent_probe));
+        let silent_from = Timestamp::from_micros(silent_from);
+        self.insert(tunnel, control, failure_domain, patience, silent_from);
     }
 
     pub fn forget(&mut self, tunnel: SocketAddrV4) {
@@ -154,12 +157,12 @@
         control: SocketAddrV4,
         failure_domain: &Arc<str>,
         patience: Duration,
-        now: Timestamp,
+        last_heard: Timestamp,
     ) {
         let agent = WatchedAgent {
             control,
             failure_domain: failure_domain.clone(),
-            last_heard: now,
+            last_heard,
             last_probe: Timestamp::ZERO,
             patience,
         };
--- a/arbutus-core/src/membership/balancer_node/agents.rs
+++ b/arbutus-core/src/membership/balancer_node/agents.rs
@@ -139,7 +139,8 @@
         }
         if !self.watch.contains(tunnel) && self.is_responsible(tunnel, &agent.failure_domain) {
             let domain = agent.failure_domain.clone();
-            self.watch.watch(tunnel, agent.control, &domain, now);
+            self.watch
+                .watch(tunnel, agent.control, &domain, &self.settings, now);
         }
     }
 
--- a/arbutus-core/tests/membership/script.rs
+++ b/arbutus-core/tests/membership/script.rs
@@ -30,6 +30,7 @@
             // Starts an agent: its name, failure domain, service, and whose address it takes.
             "agent" => world.start_agent(next()?, next()?, next()?, next().ok()),
             "kill" => world.set_life(next()?, Life::Dead),
+            "kill-homes" => kill_homes(world, next()?),
             "pause" => world.set_life(next()?, Life::Paused),
             "wake" => world.set_life(next()?, Life::Runs),
             "drain" => world.drain(next()?),
@@ -87,6 +88,22 @@
     world.apply_services(services.collect());
 }
 
+fn kill_homes(world: &mut World, agent: &str) {
+    let homes: Vec<_> = world
+        .agents()
+        .filter(|(name, _)| *name == agent)
+        .flat_map(|(_, it)| it.homes())
+        .collect();
+    let names: Vec<String> = world
+        .balancers()
+        .filter(|(_, it)| homes.contains(&it.record().control))
+        .map(|(name, _)| name.to_owned())
+        .collect();
+    for name in names {
+        world.set_life(&name, Life::Dead);
+    }
+}
+
 fn candidates(world: &World, service: &str) -> Result<String, Box<dyn Error>> {
     grouped(world.balancers().map(|(name, balancer)| {
         let candidates = World::candidates(balancer, service);
@@ -171,6 +188,7 @@
 #[case::parted_domains_come_together_again("partition")]
 #[case::a_silent_domain_is_one_notice("silent_domain")]
 #[case::a_configuration_spreads_though_its_reader_dies("config")]
+#[case::an_agent_dies_with_all_its_homes("homes_die")]
 #[case::balancers_without_links_find_each_other("strangers")]
 #[case::a_new_balancer_joins_while_the_store_is_down("join")]
 fn scenario(#[case] name: &str) {
--- a/arbutus-core/tests/membership/world.rs
+++ b/arbutus-core/tests/membership/world.rs
@@ -80,6 +80,8 @@
 }
 
 impl World {
+    /// Messages that wait for a paused machine; further ones are lost.
+    const INBOX: usize = 4;
     const CHECK_INTERVAL: Duration = Duration::from_millis(100);
     /// Time within which a dead agent is nowhere a candidate, on a calm network.
     const DEAD_LIMIT: Duration = Duration::from_secs(3);
@@ -293,7 +295,10 @@
         let node = self.nodes.get_mut(&name).expect("owners are nodes");
         match node.life {
             Life::Runs => self.receive(&name, delivery.from, delivery.payload),
-            Life::Paused => node.inbox.push((delivery.from, delivery.payload)),
+            Life::Paused if node.inbox.len() < Self::INBOX => {
+                node.inbox.push((delivery.from, delivery.payload));
+            }
+            Life::Paused => {}
             Life::Dead => {}
         }
     }
