--- a/arbutus-core/tests/apply/script.rs
+++ b/arbutus-core/tests/apply/script.rs
@@ -4,6 +4,7 @@
 //!   base;
 //! - `step [FAULT]` performs what the machine asked for;
 //! - `run [FAULT]` steps until the end;
+//! - `many COUNT` makes that many changes without faults;
 //! - `late` lets delayed swaps take effect;
 //! - `base` takes up what the store holds; `store` shows it; `wipe` empties it.
 
@@ -48,6 +49,11 @@
                 let fault = fault(args.next_pos())?;
                 self.run_to_end(&window, fault)?
             }
+            "many" => {
+                let count = args.next_pos().unwrap_or("1").parse()?;
+                self.make_many(count);
+                String::new()
+            }
             "late" => {
                 self.store.deliver_late();
                 String::new()
@@ -103,6 +109,20 @@
         }
     }
 
+    fn make_many(&mut self, count: u32) {
+        for number in 0..count {
+            let word = format!("lookup/{}", number + 1_000);
+            let wanted = services([word.as_str()]);
+            let base = base_of(&self.store.read());
+            let id = u128::MAX - u128::from(base.version.get());
+            let id = ChangeId::new(id.to_be_bytes());
+            let mut desk = Desk::begin(id, base, wanted, self.now);
+            while desk.outcome().is_none() {
+                desk.step(&mut self.store, Fault::None, &mut self.now);
+            }
+        }
+    }
+
     fn show(&self) -> String {
         let stored = self.store.read();
         let mut output = format!("version {}\n", stored.version());
--- a/arbutusctl/src/command/report.rs
+++ b/arbutusctl/src/command/report.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use arbutus_core::apply::Outcome;
+use arbutus_core::{apply::Outcome, config::ConfigVersion};
 use serde_json::{Value, json};
 
 use super::diff::{lines, print_all};
@@ -61,6 +61,10 @@
             Outcome::AlreadyInForce { version } => {
                 format!("nothing to change: version {version} holds just this")
             }
+            Outcome::LostRace { version, .. } if *version == ConfigVersion::NONE => {
+                "not accepted: the store holds no configuration, but the folder is based on one"
+                    .to_owned()
+            }
             Outcome::LostRace { version, by, .. } => format!(
                 "not accepted: version {version} by {by} came first; nothing was overwritten"
             ),
--- a/arbutusctl/tests/commands/apply.rs
+++ b/arbutusctl/tests/commands/apply.rs
@@ -140,6 +140,25 @@
     assert_eq!(run.code, Some(6), "no node has it yet: {run:?}");
 }
 
+#[tokio::test]
+async fn what_an_emptied_store_lost_is_put_back_under_a_higher_version() {
+    let (before, emptied) = (Desk::open().await, Desk::open().await);
+    before.write_services("a", "services.jsonc", &["lookup"]);
+    before.run("a", &["apply"]).await;
+    let folder = before.path("a");
+    let url = emptied.store.url();
+    let lost = run_in(&folder, &["apply", "--store", &url]).await;
+    assert_eq!(lost.code, Some(3), "{lost:?}");
+    assert!(
+        lost.out.contains("the store holds no configuration"),
+        "{lost:?}"
+    );
+    let again = ["apply", "--onto", "0", "--json", "--store", &url];
+    let again = run_in(&folder, &again).await;
+    assert_eq!(again.code, Some(0), "{again:?}");
+    assert_eq!(again.json()["version"], 2);
+}
+
 #[tokio::test]
 async fn defaults_come_from_the_folder() {
     let desk = Desk::open().await;
