--- a/arbutus-bench/src/lib.rs
+++ b/arbutus-bench/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod data_path;
 pub mod membership;
 pub mod policy;
+pub mod requests;
