--- a/arbutus-lab/src/command.rs
+++ b/arbutus-lab/src/command.rs
@@ -6,6 +6,7 @@
 mod demo_command;
 mod fabric_command;
 mod main_command;
+mod report_command;
 mod run_command;
 mod store_command;
 
--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod events;
 pub mod experiment;
 pub mod fabric;
+pub mod report;
 pub mod store;
 pub mod verdict;
