feat(core): a stopping balancer says that it is gone

Cause: a balancer that stopped was found out by silence only, three seconds later, and stayed a home for agents till then. Its record now goes to Gone at once and cannot come back under the same incarnation.

--- a/arbutus-core/src/membership/balancer_node.rs
+++ b/arbutus-core/src/membership/balancer_node.rs
@@ -4,6 +4,7 @@
 mod configs;
 mod domains;
 mod greetings;
+mod leave;
 mod links;
 mod node;
 mod records;
--- a/arbutus-core/src/request/upstream.rs
+++ b/arbutus-core/src/request/upstream.rs
@@ -40,7 +40,7 @@
         };
         match open.phase {
             Phase::Sent if head.is_shed() => self.shed(attempt, head, now),
-            Phase::Sent => self.relay(attempt, head, Phase::Relaying, now),
+            Phase::Sent => self.relay(attempt, Phase::Relaying, now),
             Phase::AtOwner | Phase::AtPeer => self.peer_head(attempt, head, now),
             Phase::Queued | Phase::Connecting | Phase::Relaying | Phase::RelayingPeer => {
                 self.violated();
@@ -121,7 +121,7 @@
         self.try_again_after_shed(attempt, head, now);
     }
 
-    fn relay(&mut self, attempt: Attempt, head: UpstreamHead, phase: Phase, now: Timestamp) {
+    fn relay(&mut self, attempt: Attempt, phase: Phase, now: Timestamp) {
         let Some(open) = self.current(attempt) else {
             return;
         };
@@ -145,7 +145,7 @@
             return;
         };
         match head.outcome {
-            Some(Outcome::Ran) => self.relay(attempt, head, Phase::RelayingPeer, now),
+            Some(Outcome::Ran) => self.relay(attempt, Phase::RelayingPeer, now),
             Some(Outcome::NotRun) if phase == Phase::AtPeer => {
                 self.actions.push(Action::Cancel { attempt });
                 let retry_after_s = head.retry_after_s;
--- a/arbutus-io/src/balancer/control_task.rs
+++ b/arbutus-io/src/balancer/control_task.rs
@@ -75,7 +75,11 @@
                     Some(answer) => Some(answer),
                     None => return,
                 },
-                () = stop.notified() => None,
+                () = stop.notified() => {
+                    let actions = self.node.lock().leave(clock::now());
+                    self.act_all(actions);
+                    None
+                }
                 () = tokio::time::sleep(wait.max(MIN_WAIT)) => Some(BalancerEvent::Tick),
             };
             if let Some(event) = event {
