--- /dev/null
+++ b/arbutus-lab/src/baseline/direct_load.rs
@@ -0,0 +1,94 @@
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::{BodyExt, Empty};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+use crate::{content, error::LabError};
+
+type HttpClient = Client<HttpConnector, Empty<Bytes>>;
+
+/// Callers that know the backend servers and take them in turn.
+#[derive(Debug)]
+pub(super) struct DirectLoad {
+    /// The service's name.
+    pub(super) service: Arc<str>,
+    /// Where its backend servers serve; not empty.
+    pub(super) backends: Vec<SocketAddrV4>,
+    /// Requests each second.
+    pub(super) rate: u32,
+    /// How long new requests are made.
+    pub(super) duration: Duration,
+    /// Seed of the arrival times.
+    pub(super) seed: u64,
+}
+
+impl DirectLoad {
+    /// Makes the load and gives the latencies of whole and right answers, in microseconds.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a request has no right answer.
+    pub(super) async fn run(self) -> Result<Histogram<u64>, Report<LabError>> {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
+        let mean = Duration::from_secs(1) / self.rate.max(1);
+        let start = Instant::now();
+        let mut due = start;
+        let mut requests = JoinSet::new();
+        for number in 0.. {
+            let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+            due += mean.mul_f64(-uniform.ln());
+            if due >= start + self.duration {
+                break;
+            }
+            time::sleep_until(due).await;
+            let backend = self.backends[number % self.backends.len()];
+            requests.spawn(ask(client.clone(), backend, self.service.clone(), number));
+        }
+        let mut latencies = Histogram::new(3).change_context(LabError::Process)?;
+        while let Some(result) = requests.join_next().await {
+            let took = result.change_context(LabError::Process)??;
+            let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+            latencies.saturating_record(micros);
+        }
+        Ok(latencies)
+    }
+}
+
+async fn ask(
+    client: HttpClient,
+    backend: SocketAddrV4,
+    service: Arc<str>,
+    number: usize,
+) -> Result<Duration, Report<LabError>> {
+    let id = format!("direct-{number}");
+    let req = Request::get(format!("http://{backend}/"))
+        .header("x-request-id", &id)
+        .header("x-lab-service", &*service)
+        .body(Empty::new())
+        .change_context(LabError::Process)?;
+    let start = Instant::now();
+    let res = client
+        .request(req)
+        .await
+        .change_context(LabError::Process)?;
+    let body = res.collect().await.change_context(LabError::Process)?;
+    let took = start.elapsed();
+    if body.to_bytes() != content::body(&service, &id).as_bytes() {
+        return Err(Report::new(LabError::Process).attach("a wrong answer came"));
+    }
+    Ok(took)
+}
--- a/arbutus-lab/src/command.rs
+++ b/arbutus-lab/src/command.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod backend_command;
+mod baseline_command;
 mod caller_command;
 mod demo_command;
 mod fabric_command;
--- a/arbutus-lab/src/command/main_command.rs
+++ b/arbutus-lab/src/command/main_command.rs
@@ -4,8 +4,8 @@
 use lexopt::{Arg, Parser};
 
 use super::{
-    args::Args, backend_command, caller_command, demo_command, fabric_command, report_command,
-    run_command, store_command,
+    args::Args, backend_command, baseline_command, caller_command, demo_command, fabric_command,
+    report_command, run_command, store_command,
 };
 use crate::error::LabError;
 
@@ -18,6 +18,7 @@
   demo     a small deployment that serves requests, and what happened
   run      an experiment on real processes, judged afterwards
   report   plots of a run
+  baseline the whole path beside the backend servers themselves
   fabric   sprays callers' datagrams over the balancers
   backend  a backend server over HTTP/1.1
   caller   makes load over HTTP/3 and writes down what callers are told
@@ -69,6 +70,7 @@
         Some("store") => runtime.block_on(store_command::run(args)),
         Some("demo") => runtime.block_on(demo_command::run(args)),
         Some("report") => report_command::run(args),
+        Some("baseline") => runtime.block_on(baseline_command::run(args)),
         Some("run") => runtime.block_on(run_command::run(args)),
         Some("caller") => runtime.block_on(caller_command::run(args)),
         _ => {
--- a/arbutus-lab/src/deployment/layout.rs
+++ b/arbutus-lab/src/deployment/layout.rs
@@ -49,6 +49,14 @@
     pub host: Ipv4Addr,
 }
 
+impl AgentPlan {
+    /// Where the backend server beside the agent serves.
+    #[must_use]
+    pub const fn backend(&self) -> SocketAddrV4 {
+        backend_listen(self.host)
+    }
+}
+
 /// Which node of a deployment has which address.
 #[derive(Debug)]
 pub struct Layout {
--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod backend;
+pub mod baseline;
 pub mod caller;
 pub mod clock;
 pub mod command;
