--- a/arbutus-core/tests/membership/world.rs
+++ b/arbutus-core/tests/membership/world.rs
@@ -298,8 +298,7 @@
             Life::Paused if node.inbox.len() < Self::INBOX => {
                 node.inbox.push((delivery.from, delivery.payload));
             }
-            Life::Paused => {}
-            Life::Dead => {}
+            Life::Paused | Life::Dead => {}
         }
     }
 
