feat(core): an agent whose backend server fails tells peers of no room

Cause: in the retry measurement, backend servers that fail at once looked idle and drew the retries of others; with all seven failing, every read was tried twice without a budget. Ruled out: a larger budget (it feeds the storm) and choosing retry peers at random (it only halves the draw).

--- a/arbutus-core/src/request/request_machine.rs
+++ b/arbutus-core/src/request/request_machine.rs
@@ -62,6 +62,8 @@
     /// Open requests at the agents of their bindings.
     pub(super) at_owners: u32,
     pub(super) service_time: ServiceTime,
+    /// Attempts at the backend server that failed since the last one that it answered.
+    pub(super) failures_in_row: u32,
     pub(super) budget: RetryBudget,
     pub(super) peers: Peers,
     pub(super) draining: bool,
@@ -73,6 +75,8 @@
 }
 
 impl RequestMachine {
+    /// Failed attempts in a row after which peers are told of no room.
+    pub const FAILURES_MAX: u32 = 3;
     /// How many keys are remembered at once.
     pub const KEYS_MAX: usize = 100_000;
 
@@ -107,6 +111,7 @@
             in_hand: 0,
             at_owners: 0,
             service_time: ServiceTime::default(),
+            failures_in_row: 0,
             budget: RetryBudget::new(),
             peers: Peers::default(),
             draining: false,
@@ -171,10 +176,12 @@
         self.queue.len()
     }
 
-    /// Slots that peers may count on.
+    /// Slots that peers may count on. A backend server that fails looks idle, so it has none.
     #[must_use]
     pub fn free_slots(&self) -> u32 {
-        if self.draining || self.stop != Stop::Serving || !self.queue.is_empty() {
+        let is_failing = self.failures_in_row >= Self::FAILURES_MAX;
+        let takes_more = !self.draining && self.stop == Stop::Serving && self.queue.is_empty();
+        if is_failing || !takes_more {
             return 0;
         }
         self.policy.slots.saturating_sub(self.in_hand)
--- a/arbutus-core/src/request/settle.rs
+++ b/arbutus-core/src/request/settle.rs
@@ -100,6 +100,9 @@
             self.abort(request, true, now);
             return;
         }
+        if phase == Phase::Sent && reason == Refusal::Deadline {
+            self.failures_in_row = self.failures_in_row.saturating_add(1);
+        }
         let Some(open) = self.remove(request) else {
             return;
         };
--- a/arbutus-core/src/request/upstream.rs
+++ b/arbutus-core/src/request/upstream.rs
@@ -38,7 +38,11 @@
             self.late_head(attempt, head);
             return;
         };
-        match open.phase {
+        let phase = open.phase;
+        if phase == Phase::Sent {
+            self.failures_in_row = 0;
+        }
+        match phase {
             Phase::Sent if head.is_shed() => self.shed(attempt, head, now),
             Phase::Sent => self.relay(attempt, head, Phase::Relaying, now),
             Phase::AtOwner | Phase::AtPeer => self.peer_head(attempt, head, now),
@@ -77,6 +81,9 @@
             }
             Phase::Connecting | Phase::Sent | Phase::AtPeer => {
                 let sent = sent && phase != Phase::Connecting;
+                if phase.holds_slot() {
+                    self.failures_in_row = self.failures_in_row.saturating_add(1);
+                }
                 self.try_again(attempt, sent, Refusal::UpstreamFailed, None, now);
             }
             Phase::Queued => self.violated(),
--- a/arbutus-core/tests/request/script.rs
+++ b/arbutus-core/tests/request/script.rs
@@ -46,6 +46,10 @@
         match command.name.as_str() {
             "agent" => self.start_agent(&name, &mut args)?,
             "at" => output = self.run_until(&name, number(&mut args)?)?,
+            "free-slots" => {
+                let machine = self.agents.get(&name).ok_or("no such agent")?;
+                output = machine.free_slots().to_string();
+            }
             "counters" => output = self.counters(&name, &mut args)?,
             other => {
                 let event = self.event(other, &mut args)?;
@@ -333,6 +337,7 @@
 #[case::a_lost_owner_is_unknown_for_ever("owner_gone")]
 #[case::a_draining_agent_serves_its_connections("drain")]
 #[case::a_stopping_agent_ends_what_it_has("stop")]
+#[case::a_failing_backend_server_has_no_room_for_peers("failing")]
 #[case::marked_paths_are_repeatable("paths")]
 fn scenario(#[case] name: &str) {
     let path = format!(
