--- a/arbutus-core/src/binding.rs
+++ b/arbutus-core/src/binding.rs
@@ -26,9 +26,10 @@
 //!
 //! # Changing the binding
 //!
-//! A caller may send `K` under another binding only after an answer of `not-run`. Only `A` gives
-//! that answer to a request bound to `A`, and before it does, it closes `K` for every binding it
-//! has issued so far (bindings carry a serial number that rises). A delayed duplicate of an
+//! A caller may send `K` under another binding only after an answer of `not-run` to an attempt
+//! that carried the binding it holds now; answers to attempts under earlier bindings change
+//! nothing. Only `A` gives that answer to a request bound to `A`, and before it does, it closes
+//! `K` for every binding it has issued so far (bindings carry a serial number that rises). A delayed duplicate of an
 //! earlier attempt then finds the key closed. Closed keys are bounded: the oldest is dropped by
 //! raising one floor under which every key that is not recorded is closed.
 //!
--- a/arbutus-core/src/request/counters.rs
+++ b/arbutus-core/src/request/counters.rs
@@ -29,6 +29,6 @@
     pub memory_full: u64,
     /// Events of attempts that were over.
     pub stale_events: u64,
-    /// Breaches of the machine's own invariants; each ended its request and did nothing else.
+    /// Breaches of the machine's own invariants, and events that the order of actions excludes.
     pub invariant_violations: u64,
 }
--- a/arbutus-core/src/request/settle.rs
+++ b/arbutus-core/src/request/settle.rs
@@ -110,7 +110,7 @@
             Refusal::Deadline => 504,
             _ => 503,
         };
-        self.leave(&open, now);
+        self.leave(&open);
         self.refuse(&open, status, reason, now);
     }
 
@@ -151,7 +151,7 @@
             return;
         };
         if upstream_open {
-            self.leave(&open, now);
+            self.leave(&open);
         } else if open.phase.holds_slot() {
             self.release(open.slot_since, now);
         }
@@ -165,7 +165,7 @@
             return;
         };
         self.counters.cancelled += 1;
-        self.leave(&open, now);
+        self.leave(&open);
         match open.key {
             // The response's head has settled the key.
             Some(_) if open.phase.is_relaying() => {}
@@ -185,7 +185,7 @@
     }
 
     /// Takes a removed request out of the queue or away from its upstream.
-    fn leave(&mut self, open: &OpenRequest, _now: Timestamp) {
+    fn leave(&mut self, open: &OpenRequest) {
         if !open.phase.has_upstream() {
             self.queue.retain(|queued| *queued != open.request);
             return;
