--- a/arbutus-bench/src/lib.rs
+++ b/arbutus-bench/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod bench_error;
 pub mod data_path;
+pub mod membership;
 pub mod policy;
 pub mod requests;
--- a/arbutus-core/src/membership/balancer_node.rs
+++ b/arbutus-core/src/membership/balancer_node.rs
@@ -3,6 +3,8 @@
 mod agents;
 mod configs;
 mod domains;
+mod greetings;
+mod leave;
 mod links;
 mod node;
 mod records;
--- a/arbutus-core/src/membership/balancer_node/agents.rs
+++ b/arbutus-core/src/membership/balancer_node/agents.rs
@@ -73,7 +73,11 @@
         conflict: bool,
     ) -> HeartbeatAck {
         let tunnel = heartbeat.tunnel;
-        let agent = self.roster.agent(tunnel);
+        let incarnation = heartbeat.rank.incarnation;
+        let agent = self
+            .roster
+            .agent(tunnel)
+            .filter(|agent| agent.incarnation == incarnation && !conflict);
         let tag = agent.map(|agent| agent.tag);
         let failure_domain = agent.map(|agent| agent.failure_domain.clone());
         let service = tag.and_then(|tag| self.book.service_after(tag, heartbeat.service_version));
@@ -85,6 +89,7 @@
             .map(|domain| self.homes.homes(tunnel, &domain, &self.settings));
         HeartbeatAck {
             tunnel,
+            incarnation,
             known,
             conflict,
             config_version: self.book.version(),
@@ -134,23 +139,18 @@
         }
         if !self.watch.contains(tunnel) && self.is_responsible(tunnel, &agent.failure_domain) {
             let domain = agent.failure_domain.clone();
-            self.watch.watch(tunnel, agent.control, &domain, now);
+            self.watch
+                .watch(tunnel, agent.control, &domain, &self.settings, now);
         }
     }
 
     /// Probes agents that were silent for a while and suspects those that stay so.
     pub(super) fn scan_agents(&mut self, now: Timestamp) {
-        let own = &self.record.failure_domain;
-        let (heard, settings) = (&self.heard, &self.settings);
-        let extra = |domain: &str| {
-            let heard = heard.get(domain).copied().unwrap_or_default();
-            if domain == &**own || now.since(heard) < settings.agent_probe {
-                Duration::ZERO
-            } else {
-                settings.foreign_patience
-            }
-        };
-        for silence in self.watch.scan(settings, extra, now) {
+        let mut watch = std::mem::take(&mut self.watch);
+        let extra = |domain: &str| self.patience_with(domain, now);
+        let silences = watch.scan(&self.settings, extra, now);
+        self.watch = watch;
+        for silence in silences {
             match silence {
                 Silence::Probe(tunnel) => {
                     if let Some(control) = self.watch.control(tunnel) {
@@ -162,6 +162,20 @@
         }
     }
 
+    /// Time added before an agent of the failure domain becomes suspect, so that a notice about
+    /// the domain takes the place of a suspicion of each agent.
+    fn patience_with(&self, failure_domain: &str, now: Timestamp) -> Duration {
+        let is_own = failure_domain == &*self.record.failure_domain;
+        let heard = self.heard.get(failure_domain).copied().unwrap_or_default();
+        if is_own || now.since(heard) < self.settings.agent_probe {
+            Duration::ZERO
+        } else if self.may_give_notice(failure_domain, now) {
+            self.settings.notice_patience
+        } else {
+            self.settings.foreign_patience
+        }
+    }
+
     /// Takes up the watch of agents whose responsible balancers changed.
     pub(super) fn renew_homes(&mut self, now: Timestamp) {
         let is_paced = self.homes.len() > Self::SMALL_SYSTEM
--- a/arbutus-core/src/request/upstream.rs
+++ b/arbutus-core/src/request/upstream.rs
@@ -44,7 +44,7 @@
         }
         match phase {
             Phase::Sent if head.is_shed() => self.shed(attempt, head, now),
-            Phase::Sent => self.relay(attempt, head, Phase::Relaying, now),
+            Phase::Sent => self.relay(attempt, Phase::Relaying, now),
             Phase::AtOwner | Phase::AtPeer => self.peer_head(attempt, head, now),
             Phase::Queued | Phase::Connecting | Phase::Relaying | Phase::RelayingPeer => {
                 self.violated();
@@ -118,8 +118,7 @@
             let below = self.next_serial;
             KeyState::Closed { below }
         } else {
-            let status = head.status;
-            KeyState::Ran { status }
+            KeyState::Ran
         };
         self.memory.revise(key, state);
     }
@@ -129,7 +128,7 @@
         self.try_again_after_shed(attempt, head, now);
     }
 
-    fn relay(&mut self, attempt: Attempt, head: UpstreamHead, phase: Phase, now: Timestamp) {
+    fn relay(&mut self, attempt: Attempt, phase: Phase, now: Timestamp) {
         let Some(open) = self.current(attempt) else {
             return;
         };
@@ -141,8 +140,7 @@
             self.at_owners = self.at_owners.saturating_sub(1);
         }
         if let Some(key) = key {
-            let status = head.status;
-            self.memory.end(key, KeyState::Ran { status }, now);
+            self.memory.end(key, KeyState::Ran, now);
         }
         let offer = if renew { self.offer(now) } else { None };
         self.counters.ran += 1;
@@ -154,7 +152,7 @@
             return;
         };
         match head.outcome {
-            Some(Outcome::Ran) => self.relay(attempt, head, Phase::RelayingPeer, now),
+            Some(Outcome::Ran) => self.relay(attempt, Phase::RelayingPeer, now),
             Some(Outcome::NotRun) if phase == Phase::AtPeer => {
                 self.actions.push(Action::Cancel { attempt });
                 let retry_after_s = head.retry_after_s;
--- a/arbutus-core/src/spread.rs
+++ b/arbutus-core/src/spread.rs
@@ -1,7 +1,9 @@
 //! How a configuration spreads: versions by service, pages of what changed, reads of the store.
 
 mod config_book;
+mod config_digest;
 mod config_page;
+mod config_pages;
 mod page_outcome;
 mod staging;
 mod store_read;
