--- a/arbutus-lab/src/deployment/nodes.rs
+++ b/arbutus-lab/src/deployment/nodes.rs
@@ -1,4 +1,4 @@
-use std::{sync::Arc, time::Duration};
+use std::{process::ExitStatus, sync::Arc, time::Duration};
 
 use error_stack::Report;
 use nix::sys::signal::Signal;
@@ -44,7 +44,7 @@
     ///
     /// Fails where one does not end, or ends with a failure.
     pub async fn wait_for_stopped(&mut self, node: Node) -> Result<(), Report<LabError>> {
-        let status = self.process(node)?.wait(STOP_LIMIT).await?;
+        let status = self.wait_for_end(node).await?;
         if status.success() {
             Ok(())
         } else {
@@ -115,7 +115,15 @@
             .collect()
     }
 
-    fn process(&mut self, node: Node) -> Result<&mut ManagedProcess, Report<LabError>> {
+    /// Waits until the process of a node has ended, however it does.
+    pub(super) async fn wait_for_end(
+        &mut self,
+        node: Node,
+    ) -> Result<ExitStatus, Report<LabError>> {
+        self.process(node)?.wait(STOP_LIMIT).await
+    }
+
+    pub(super) fn process(&mut self, node: Node) -> Result<&mut ManagedProcess, Report<LabError>> {
         let process = match node.role {
             Role::Balancer => self.balancers.get_mut(&node.number),
             Role::Agent => self.agents.get_mut(node.to_string().as_str()),
--- a/arbutus-lab/src/deployment/running.rs
+++ b/arbutus-lab/src/deployment/running.rs
@@ -156,12 +156,15 @@
         ManagedProcess::start_announced(&name, &self.binaries.lab, &args, &log).await
     }
 
-    /// Starts a node that does not run, perhaps a new one.
+    /// Starts a node that does not run, perhaps a new one; one that was asked to end ends first.
     ///
     /// # Errors
     ///
-    /// Fails where it does not become ready.
+    /// Fails where its former process does not end, or it does not become ready.
     pub async fn start_node(&mut self, node: Node) -> Result<(), Report<LabError>> {
+        if self.process(node).is_ok() {
+            self.wait_for_end(node).await?;
+        }
         match node.role {
             Role::Balancer => self.start_balancer(node.number).await,
             Role::Agent => self.start_agent(self.layout.agent(node.number)).await,
--- a/arbutus-lab/src/experiment/control_sampler.rs
+++ b/arbutus-lab/src/experiment/control_sampler.rs
@@ -47,11 +47,14 @@
         Self { spans, task }
     }
 
-    /// Ends the readings; the result is the rate of the process with the most, in bytes each second.
-    pub(super) fn finish(self) -> f64 {
+    /// Ends the readings; the result is the rate of each process, in bytes each second.
+    pub(super) fn finish(self) -> BTreeMap<Arc<str>, f64> {
         self.task.abort();
         let spans = self.spans.lock();
-        spans.values().map(Span::rate).fold(0.0, f64::max)
+        let rates = spans
+            .iter()
+            .map(|(name, span)| (Arc::clone(name), span.rate()));
+        rates.collect()
     }
 }
 
--- a/arbutus-lab/src/experiment/timeline.rs
+++ b/arbutus-lab/src/experiment/timeline.rs
@@ -99,6 +99,10 @@
                 self.deployment.stop_node(*node).await
             }
             Action::Start(node) => {
+                if let Some(index) = self.stopped.iter().position(|it| it == node) {
+                    self.stopped.swap_remove(index);
+                    self.deployment.wait_for_stopped(*node).await?;
+                }
                 self.note(ChangeKind::Start, target(*node), None);
                 self.deployment.start_node(*node).await
             }
--- a/arbutus-lab/src/verdict/evidence.rs
+++ b/arbutus-lab/src/verdict/evidence.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -17,14 +17,25 @@
 }
 
 /// What was read off the processes while they ran.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Measured {
-    /// Control bytes each second, of the process with the most.
-    pub control_bytes_per_s: f64,
+    /// Control bytes each second of each process, by its name.
+    pub control_bytes_per_s: BTreeMap<Arc<str>, f64>,
     /// The longest time from a change of configuration until it was in force at every process.
     pub config_in_force_s: f64,
 }
 
+impl Measured {
+    /// Control bytes each second, of the process with the most.
+    #[must_use]
+    pub fn most_control_bytes_per_s(&self) -> f64 {
+        self.control_bytes_per_s
+            .values()
+            .copied()
+            .fold(0.0, f64::max)
+    }
+}
+
 /// Everything a verdict rests on; times are microseconds since the Unix epoch.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Evidence {
--- a/arbutus-lab/src/verdict/verdict_report.rs
+++ b/arbutus-lab/src/verdict/verdict_report.rs
@@ -84,7 +84,7 @@
             new_work_after_drain_s: drains::new_work_after_s(evidence),
             imbalance_cv: imbalance::coefficient_of_variation(evidence),
             latency_ms: latency::latency(evidence),
-            control_bytes_per_s: evidence.measured.control_bytes_per_s,
+            control_bytes_per_s: evidence.measured.most_control_bytes_per_s(),
             config_in_force_s: evidence.measured.config_in_force_s,
         }
     }
