fix(agent): a caller that stops reading cannot hold a slot past its deadline

Cause: while a piece of the body waited for the caller's window, the task heard neither the decisions' cancel nor their abort. Found by reading; not reproduced in a run. The daemons' main functions are one piece of code now, with one command line.

--- a/arbutus-agent/src/main.rs
+++ b/arbutus-agent/src/main.rs
@@ -1,81 +1,19 @@
 //! The agent daemon.
 
-mod arguments;
-
 use std::process::ExitCode;
 
-use arbutus_io::{agent, telemetry};
-use arbutus_settings::{SettingsError, agent::AgentSettings};
-use arguments::{Arguments, Command};
-
-const USAGE: &str = "\
-Runs an agent of an arbutusstage deployment.
-
-Usage: arbutus-agent --config FILE [--check-config]
-
-Options:
-  --config FILE    settings, JSON with comments
-  --check-config   check the settings and the files they name, then end
-  --help           show this text
-  --version        show the version
-
-Exit codes: 0 ended as asked, 1 failed, 2 wrong usage or settings.
-The environment variable ARBUTUS_LOG sets the log filter (default: info).
-";
-
-const EXIT_FAILED: u8 = 1;
-const EXIT_USAGE: u8 = 2;
+use arbutus_io::{
+    agent,
+    daemon::{self, Daemon},
+};
+use arbutus_settings::agent::AgentSettings;
 
 fn main() -> ExitCode {
-    let arguments = match Arguments::parse(lexopt::Parser::from_env()) {
-        Ok(arguments) => arguments,
-        Err(err) => {
-            eprintln!("arbutus-agent: {err}\n\n{USAGE}");
-            return ExitCode::from(EXIT_USAGE);
-        }
-    };
-    match arguments.command {
-        Command::Help => {
-            print!("{USAGE}");
-            ExitCode::SUCCESS
-        }
-        Command::Version => {
-            println!("arbutus-agent {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
-        }
-        Command::Check(path) => match AgentSettings::load(&path) {
-            Ok(_) => {
-                println!("{}: ok", path.display());
-                ExitCode::SUCCESS
-            }
-            Err(report) => settings_failed(&report),
-        },
-        Command::Run(path) => match AgentSettings::load(&path) {
-            Ok(settings) => run(settings),
-            Err(report) => settings_failed(&report),
-        },
-    }
-}
-
-fn settings_failed(report: &error_stack::Report<SettingsError>) -> ExitCode {
-    eprintln!("{report:?}");
-    ExitCode::from(EXIT_USAGE)
-}
-
-fn run(settings: AgentSettings) -> ExitCode {
-    telemetry::init();
-    let runtime = match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime,
-        Err(err) => {
-            tracing::error!(%err, "runtime_failed");
-            return ExitCode::from(EXIT_FAILED);
-        }
+    let this = Daemon {
+        name: env!("CARGO_PKG_NAME"),
+        version: env!("CARGO_PKG_VERSION"),
+        about: "Runs an agent of an arbutusstage deployment.",
+        load: AgentSettings::load,
     };
-    match runtime.block_on(agent::run(settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            tracing::error!(error = ?report, "start_failed");
-            ExitCode::from(EXIT_FAILED)
-        }
-    }
+    daemon::launch(&this, agent::run)
 }
--- a/arbutus-io/src/agent/request_task.rs
+++ b/arbutus-io/src/agent/request_task.rs
@@ -210,11 +210,7 @@
             return;
         };
         match piece {
-            Ok(Some(bytes)) => {
-                if self.responder.data(bytes).await.is_err() {
-                    self.caller_gone();
-                }
-            }
+            Ok(Some(bytes)) => self.send_piece(bytes).await,
             Ok(None) => {
                 if let Some(body) = self.relayed.take() {
                     body.put_back(&self.services.backend).await;
@@ -231,6 +227,27 @@
         }
     }
 
+    /// Sends a piece of the body, unless the decisions end the response first.
+    ///
+    /// A caller that stops reading must not keep the deadline from being kept.
+    async fn send_piece(&mut self, bytes: Bytes) {
+        let action = tokio::select! {
+            biased;
+            action = self.ticket.actions.recv() => action,
+            sent = self.responder.data(bytes) => {
+                if sent.is_err() {
+                    self.caller_gone();
+                }
+                return;
+            }
+        };
+        // While a response is relayed, every action ends it, so that a piece cut off here is not
+        // missed.
+        if let Some(action) = action {
+            self.act(action).await;
+        }
+    }
+
     /// Closes what the attempt holds; a connection that is closed frees its slot.
     fn cancel(&mut self, attempt: Attempt) {
         if self
--- a/arbutus-agent/src/arguments.rs
+++ b/arbutus-io/src/daemon/command.rs
@@ -1,19 +1,10 @@
-//! The daemon's command line.
-
 use std::path::PathBuf;
 
 use lexopt::{Arg, Parser};
 
-/// What the command line asks for.
-#[derive(Debug)]
-pub(crate) struct Arguments {
-    /// The one thing to do.
-    pub(crate) command: Command,
-}
-
-/// A thing to do.
+/// What a daemon's command line asks for.
 #[derive(Debug)]
-pub(crate) enum Command {
+pub(super) enum Command {
     /// Show the usage.
     Help,
     /// Show the version.
@@ -24,33 +15,29 @@
     Run(PathBuf),
 }
 
-impl Arguments {
+impl Command {
     /// Reads the command line.
     ///
     /// # Errors
     ///
     /// Fails on an unknown argument, or where the settings file is missing.
-    pub(crate) fn parse(mut parser: Parser) -> Result<Self, lexopt::Error> {
+    pub(super) fn parse(mut parser: Parser) -> Result<Self, lexopt::Error> {
         let mut config = None;
         let mut check = false;
         while let Some(arg) = parser.next()? {
             match arg {
                 Arg::Long("config") => config = Some(PathBuf::from(parser.value()?)),
                 Arg::Long("check-config") => check = true,
-                Arg::Long("help") | Arg::Short('h') => return Ok(Self::of(Command::Help)),
-                Arg::Long("version") => return Ok(Self::of(Command::Version)),
+                Arg::Long("help") | Arg::Short('h') => return Ok(Self::Help),
+                Arg::Long("version") => return Ok(Self::Version),
                 arg => return Err(arg.unexpected()),
             }
         }
         let path = config.ok_or("--config FILE is missing")?;
-        Ok(Self::of(if check {
-            Command::Check(path)
+        Ok(if check {
+            Self::Check(path)
         } else {
-            Command::Run(path)
-        }))
-    }
-
-    const fn of(command: Command) -> Self {
-        Self { command }
+            Self::Run(path)
+        })
     }
 }
--- a/arbutus-io/src/lib.rs
+++ b/arbutus-io/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balancer;
 pub mod clock;
 pub mod control;
+pub mod daemon;
 pub mod metrics;
 mod reset_key;
 pub mod shutdown;
--- a/arbutus-lab/src/baseline/comparison.rs
+++ b/arbutus-lab/src/baseline/comparison.rs
@@ -16,6 +16,18 @@
 }
 
 impl Latency {
+    /// An empty histogram of microseconds, up to a minute.
+    ///
+    /// # Panics
+    ///
+    /// Never: the bounds are valid.
+    #[must_use]
+    pub fn histogram() -> Histogram<u64> {
+        const MOST_MICROS: u64 = 60_000_000;
+        const DIGITS: u8 = 3;
+        Histogram::new_with_bounds(1, MOST_MICROS, DIGITS).expect("the bounds are valid")
+    }
+
     /// Reads the figures out of a histogram of microseconds.
     #[must_use]
     pub fn of(histogram: &Histogram<u64>) -> Self {
--- a/arbutus-lab/src/baseline/direct_load.rs
+++ b/arbutus-lab/src/baseline/direct_load.rs
@@ -16,6 +16,7 @@
     time::{self, Instant},
 };
 
+use super::Latency;
 use crate::{content, error::LabError};
 
 type HttpClient = Client<HttpConnector, Empty<Bytes>>;
@@ -58,7 +59,7 @@
             let backend = self.backends[number % self.backends.len()];
             requests.spawn(ask(client.clone(), backend, self.service.clone(), number));
         }
-        let mut latencies = Histogram::new(3).change_context(LabError::Process)?;
+        let mut latencies = Latency::histogram();
         while let Some(result) = requests.join_next().await {
             let took = result.change_context(LabError::Process)??;
             let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
--- a/arbutus-lab/src/baseline/run.rs
+++ b/arbutus-lab/src/baseline/run.rs
@@ -1,4 +1,4 @@
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use hdrhistogram::Histogram;
 
 use super::{Comparison, Latency, direct_load::DirectLoad};
@@ -29,7 +29,7 @@
     load.duration = options.duration;
     load.post_percent = 0;
     load.seed = options.deployment.seed;
-    let whole_path = latencies(&caller::run(load).await?)?;
+    let whole_path = latencies(&caller::run(load).await?);
     let direct = DirectLoad {
         service: service.name.clone(),
         backends: (1..=service.agents)
@@ -47,11 +47,11 @@
 }
 
 /// The latencies of whole and right answers, in microseconds.
-fn latencies(journal: &CallerJournal) -> Result<Histogram<u64>, Report<LabError>> {
-    let mut latencies = Histogram::new(3).change_context(LabError::Process)?;
+fn latencies(journal: &CallerJournal) -> Histogram<u64> {
+    let mut latencies = Latency::histogram();
     let right = |end| end == AttemptEnd::Right;
     for attempt in journal.attempts.iter().filter(|it| right(it.end)) {
         latencies.saturating_record(attempt.end_us.saturating_sub(attempt.start_us));
     }
-    Ok(latencies)
+    latencies
 }
