perf(core): send only the rank of records whose incarnation is known

When a region that was parted joins again, its members refute their suspicion one by one, each with a whole record over every link. A record whose incarnation is known for 10 s now travels as address, rank and weight.

--- a/arbutus-bench/src/membership/full_size.rs
+++ b/arbutus-bench/src/membership/full_size.rs
@@ -154,6 +154,7 @@
     let update = Update::AgentRank {
         tunnel: record.tunnel,
         rank,
+        weight_percent: record.weight_percent,
         age_s: 0,
     };
     Message::Push(Push {
--- a/arbutus-core/src/membership/balancer_node/records.rs
+++ b/arbutus-core/src/membership/balancer_node/records.rs
@@ -106,31 +106,32 @@
 
     /// Says that a member is no longer heard.
     pub(super) fn suspect(&mut self, key: &MemberKey, now: Timestamp) {
-        let Some(rank) = self.roster.rank(key) else {
-            return;
-        };
-        if !rank.state.is_live() {
-            return;
+        if let Some(update) = self.suspicion(key) {
+            self.merge(update, None, now);
         }
+    }
+
+    fn suspicion(&self, key: &MemberKey) -> Option<Update> {
+        let rank = self.roster.rank(key).filter(|rank| rank.state.is_live())?;
         let rank = Rank {
             state: AgentState::Suspect,
             ..rank
         };
         let age_s = 0;
-        let update = match *key {
-            MemberKey::Agent(tunnel) => Update::AgentRank {
+        match *key {
+            MemberKey::Agent(tunnel) => Some(Update::AgentRank {
                 tunnel,
                 rank,
+                weight_percent: self.roster.agent(tunnel)?.weight_percent,
                 age_s,
-            },
-            MemberKey::Balancer(control) => Update::BalancerRank {
+            }),
+            MemberKey::Balancer(control) => Some(Update::BalancerRank {
                 control,
                 rank,
                 age_s,
-            },
-            MemberKey::Domain(_) => return,
-        };
-        self.merge(update, None, now);
+            }),
+            MemberKey::Domain(_) => None,
+        }
     }
 
     /// Sends what is new over each link, as much as a round allows.
--- a/arbutus-core/src/roster/roster_entry.rs
+++ b/arbutus-core/src/roster/roster_entry.rs
@@ -7,6 +7,8 @@
     pub record: R,
     /// When the member was last held to be live, or the record was taken in.
     pub since: Timestamp,
+    /// When the record's incarnation was first known here.
+    pub(super) incarnation_since: Timestamp,
     /// Whether the record counts in the digests; one that expires soon does not.
     pub(super) in_digests: bool,
 }
--- a/arbutus-core/src/roster/roster_merge.rs
+++ b/arbutus-core/src/roster/roster_merge.rs
@@ -1,6 +1,6 @@
 //! Merging of records, and their place in the digests.
 
-use std::time::Duration;
+use std::{net::SocketAddrV4, time::Duration};
 
 use super::{
     AgentRecord, AgentState, BalancerRecord, DomainNotice, LeafId, MemberKey, Merge, Rank, Roster,
@@ -17,8 +17,15 @@
             Update::AgentRank {
                 tunnel,
                 rank,
+                weight_percent,
                 age_s,
-            } => self.merge_rank(&MemberKey::Agent(tunnel), rank, age_s, now),
+            } => {
+                let merge = self.merge_rank(&MemberKey::Agent(tunnel), rank, age_s, now);
+                if merge == Merge::Changed {
+                    self.set_weight(tunnel, weight_percent);
+                }
+                merge
+            }
             Update::BalancerRank {
                 control,
                 rank,
@@ -42,6 +49,10 @@
             return merge;
         }
         record.failure_domain = self.intern(&record.failure_domain);
+        let known = self.agents.get(&record.tunnel);
+        let incarnation_since = known
+            .filter(|held| held.record.incarnation == record.incarnation)
+            .map_or(now, |held| held.incarnation_since);
         self.remove(&key);
         self.by_tag
             .entry(record.tag)
@@ -50,6 +61,7 @@
         let entry = RosterEntry {
             record,
             since,
+            incarnation_since,
             in_digests: false,
         };
         self.agents.insert(entry.record.tunnel, entry);
@@ -74,6 +86,12 @@
         Merge::Changed
     }
 
+    fn set_weight(&mut self, tunnel: SocketAddrV4, weight_percent: u32) {
+        if let Some(entry) = self.agents.get_mut(&tunnel) {
+            entry.record.weight_percent = weight_percent;
+        }
+    }
+
     fn set_rank(&mut self, key: &MemberKey, rank: Rank, since: Timestamp) {
         match key {
             MemberKey::Agent(tunnel) => {
@@ -105,10 +123,15 @@
             return merge;
         }
         record.failure_domain = self.intern(&record.failure_domain);
+        let known = self.balancers.get(&record.control);
+        let incarnation_since = known
+            .filter(|held| held.record.incarnation == record.incarnation)
+            .map_or(now, |held| held.incarnation_since);
         self.remove(&key);
         let entry = RosterEntry {
             record,
             since,
+            incarnation_since,
             in_digests: false,
         };
         self.balancers.insert(entry.record.control, entry);
@@ -131,6 +154,7 @@
         let entry = RosterEntry {
             record: notice,
             since: now,
+            incarnation_since: now,
             in_digests: false,
         };
         self.domains
--- a/arbutus-core/src/roster/roster_repair.rs
+++ b/arbutus-core/src/roster/roster_repair.rs
@@ -1,12 +1,15 @@
 //! What two nodes need to find and exchange the records in which they differ.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use super::{LeafId, LeafSet, MemberKey, Roster, Update, roster_table};
+use super::{AgentState, LeafId, LeafSet, MemberKey, Roster, Update, roster_table};
 use crate::time::Timestamp;
 
+/// Time in which a new incarnation has reached all balancers; repair finds those it has not.
+const SPREAD_LIMIT: Duration = Duration::from_secs(10);
+
 /// A record in short, as nodes list them to one another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ListedMember {
@@ -48,8 +51,8 @@
             .collect()
     }
 
-    /// The record of a member as it travels; with `compact`, a record of a member that is no
-    /// longer live is sent without what the receiver knows already.
+    /// The record of a member as it travels; with `compact`, a record whose incarnation is known
+    /// for a while is sent without what the receiver has already.
     #[must_use]
     pub fn update(&self, key: &MemberKey, compact: bool, now: Timestamp) -> Option<Update> {
         match key {
@@ -57,11 +60,12 @@
                 let entry = self.agents.get(tunnel)?;
                 let record = &entry.record;
                 let age_s = age_s(record.state.is_live(), entry.since, now);
-                if compact && !record.state.is_live() {
+                if compact && is_known_widely(record.state, entry.incarnation_since, now) {
                     let (tunnel, rank) = (*tunnel, record.rank());
                     return Some(Update::AgentRank {
                         tunnel,
                         rank,
+                        weight_percent: record.weight_percent,
                         age_s,
                     });
                 }
@@ -72,7 +76,7 @@
                 let entry = self.balancers.get(control)?;
                 let record = &entry.record;
                 let age_s = age_s(record.state.is_live(), entry.since, now);
-                if compact && !record.state.is_live() {
+                if compact && is_known_widely(record.state, entry.incarnation_since, now) {
                     let (control, rank) = (*control, record.rank());
                     return Some(Update::BalancerRank {
                         control,
@@ -126,6 +130,11 @@
     }
 }
 
+/// Whether other balancers have the record's incarnation already, or have no use for it.
+fn is_known_widely(state: AgentState, incarnation_since: Timestamp, now: Timestamp) -> bool {
+    !state.is_live() || now.since(incarnation_since) > SPREAD_LIMIT
+}
+
 const fn short(digest: u64) -> u32 {
     (digest >> 32) as u32
 }
--- a/arbutus-core/src/roster/update.rs
+++ b/arbutus-core/src/roster/update.rs
@@ -17,12 +17,14 @@
         /// Seconds since the agent was held to be live.
         age_s: u16,
     },
-    /// Only the rank of an agent whose record the receiver has at the same incarnation.
+    /// Only what changes of an agent whose record the receiver has at the same incarnation.
     AgentRank {
         /// The agent's tunnel address.
         tunnel: SocketAddrV4,
         /// Its rank.
         rank: Rank,
+        /// Its share of new flows, in percent of an equal one.
+        weight_percent: u32,
         /// Seconds since the agent was held to be live.
         age_s: u16,
     },
