--- a/arbutus-core/tests/membership.rs
+++ b/arbutus-core/tests/membership.rs
@@ -6,6 +6,8 @@
 mod network;
 #[path = "membership/random_runs.rs"]
 mod random_runs;
+#[path = "membership/roster_merge.rs"]
+mod roster_merge;
 #[path = "membership/script.rs"]
 mod script;
 #[path = "membership/store.rs"]
