--- a/arbutus-bench/src/lib.rs
+++ b/arbutus-bench/src/lib.rs
@@ -1,5 +1,7 @@
 //! Measurements of arbutusstage, each a subcommand of `arbutus-bench`.
 
 pub mod bench_error;
+pub mod data_path;
 pub mod membership;
 pub mod policy;
+pub mod requests;
--- a/arbutus-bench/src/main.rs
+++ b/arbutus-bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use arbutus_bench::{bench_error::BenchError, membership, policy};
+use arbutus_bench::{bench_error::BenchError, data_path, membership, policy, requests};
 use error_stack::{Report, ResultExt};
 use lexopt::{Arg, Parser};
 
@@ -10,8 +10,10 @@
 Usage: arbutus-bench MEASUREMENT [OPTIONS]
 
 Measurements:
+  data-path   datagrams a second, beside a relay that decides nothing
   membership  who is there and which configuration is in force, among many nodes
   policy      how new flows are spread over backend servers
+  requests    queue bound, retry budget and cost of the decisions on requests
 
 Options:
   -h, --help       print this page, or that of a measurement
@@ -39,8 +41,10 @@
             println!("arbutus-bench {}", env!("CARGO_PKG_VERSION"));
         }
         Some(Arg::Value(name)) => match name.to_str() {
+            Some("data-path") => return data_path::run(parser),
             Some("membership") => return membership::run(parser),
             Some("policy") => return policy::run(parser),
+            Some("requests") => return requests::run(parser),
             _ => return Err(Report::new(BenchError::Usage).attach("no such measurement")),
         },
         Some(other) => {
--- a/arbutus-core/src/flow/flow_admission.rs
+++ b/arbutus-core/src/flow/flow_admission.rs
@@ -6,7 +6,7 @@
 use super::{
     Action, Admission, Event, FirstPacket, FlowCounts, FlowDrop, FlowKey, FlowLimits, FlowPolicy,
     Load, LoadReport, Refusal, flow_table::FlowTable, pass_memory::PassMemory,
-    peer_table::PeerTable, ramp::Ramp, report_schedule::ReportSchedule,
+    peer_table::PeerTable, ramp::Ramp, recent_sheds::RecentSheds, report_schedule::ReportSchedule,
 };
 use crate::{
     ident::{Incarnation, ServiceTag},
@@ -16,6 +16,10 @@
     tunnel::TunnelHeader,
 };
 
+/// Hops from which an agent with room takes a flow even where a peer seems better, since the peer
+/// may be full by now and the flow's hops are few.
+const PREFERRING_HOPS: u8 = 2;
+
 /// Whether new flows may be admitted at all.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -45,6 +49,7 @@
     peers: PeerTable,
     running: u32,
     queued: u32,
+    sheds: RecentSheds,
     sequence: u32,
     schedule: ReportSchedule,
     rng: ChaCha8Rng,
@@ -77,6 +82,7 @@
             peers: PeerTable::new(tunnel),
             running: 0,
             queued: 0,
+            sheds: RecentSheds::default(),
             sequence: 0,
             schedule: ReportSchedule::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -109,9 +115,11 @@
             Event::Requested(flow) => self.flows.note_request(&flow),
             Event::Closed(flow) => self.close(&flow),
             Event::Requests { running, queued } => self.set_requests(running, queued),
+            Event::Shed => self.note_shed(now),
             Event::Report(report) => self.hear(report, now),
             Event::Peers(records) => self.list_peers(&records, now),
             Event::Limits(limits) => self.set_limits(limits),
+            Event::Policy(policy) => self.policy = policy,
             Event::Drain => self.leave_open(Phase::Draining),
             Event::Stop => self.leave_open(Phase::Stopping),
             Event::Resume => self.resume(now),
@@ -128,6 +136,7 @@
         let timers = [
             self.flows.next_expiry(&self.policy),
             self.passed.next_expiry(&self.policy),
+            self.sheds.next_expiry(&self.policy),
         ];
         let report = self.schedule.next(&self.policy);
         timers.into_iter().flatten().fold(report, Timestamp::min)
@@ -136,11 +145,12 @@
     /// What the agent has in hand at present.
     #[must_use]
     pub fn load(&self, now: Timestamp) -> Load {
-        let requests = self.running.saturating_add(self.queued);
+        let in_hand = self.running.saturating_add(self.queued);
+        let presumed = self.flows.expected_requests() + self.sheds.count();
         Load {
-            requests: requests.saturating_add(self.flows.expected_requests()),
+            requests: in_hand.saturating_add(presumed),
             connections: self.flows.connections(),
-            weight_permille: if self.has_room(now) {
+            weight_permille: if self.has_room() {
                 self.weight_permille(now)
             } else {
                 0
@@ -148,6 +158,18 @@
         }
     }
 
+    /// The peer with the lowest load among those whose fresh report leaves a slot free, for one
+    /// request that finds none here. The request is counted there until the peer's next report.
+    pub fn take_free_peer(&mut self, now: Timestamp) -> Option<SocketAddrV4> {
+        let slots = self.limits.slots;
+        let best = self.peers.best(&self.policy, &mut self.rng, now)?;
+        let free = best.requests < slots;
+        if free {
+            self.peers.note_sent(best.tunnel, &self.policy, now);
+        }
+        free.then_some(best.tunnel)
+    }
+
     /// What the machine has done since its start.
     #[must_use]
     pub const fn counts(&self) -> &FlowCounts {
@@ -195,11 +217,13 @@
         came_round: bool,
         now: Timestamp,
     ) -> Admission {
-        let must_decide = came_round || header.hops >= self.policy.max_hops;
-        let target = if must_decide {
-            None
-        } else {
+        let has_room = self.has_room();
+        let may_prefer = !came_round && header.hops < PREFERRING_HOPS;
+        let may_pass_on = header.hops < self.policy.max_hops && (may_prefer || !has_room);
+        let target = if may_pass_on {
             self.choose_peer(header, now)
+        } else {
+            None
         };
         let Some(to) = target else {
             return self.accept_or_refuse(flow, now);
@@ -248,7 +272,7 @@
         if self.phase != Phase::Open {
             return Admission::Refuse(Refusal::Draining);
         }
-        if !self.has_room(now) || !self.admit(flow, false, now) {
+        if !self.has_room() || !self.admit(flow, false, now) {
             return Admission::Refuse(Refusal::Full);
         }
         Admission::Accept
@@ -272,7 +296,7 @@
         if self.flows.open(&flow) {
             return;
         }
-        if !self.has_room(now) || !self.admit(flow, true, now) {
+        if !self.has_room() || !self.admit(flow, true, now) {
             actions.push(Action::Close(flow));
         }
     }
@@ -291,6 +315,11 @@
         }
     }
 
+    fn note_shed(&mut self, now: Timestamp) {
+        self.sheds.record(now);
+        self.schedule.note_change();
+    }
+
     fn hear(&mut self, report: LoadReport, now: Timestamp) {
         if report.tag == self.tag && self.peers.hear(report, &self.policy, now) {
             self.counts.reports_taken += 1;
@@ -369,6 +398,9 @@
 
     fn expire(&mut self, now: Timestamp) {
         self.passed.expire(&self.policy, now);
+        if self.sheds.expire(&self.policy, now) {
+            self.schedule.note_change();
+        }
         let never_opened = self.flows.expire(&self.policy, now);
         if never_opened > 0 {
             self.counts.never_opened += never_opened;
@@ -377,19 +409,20 @@
     }
 
     /// Whether one more flow may be admitted.
-    fn has_room(&self, now: Timestamp) -> bool {
-        let connections = self.ramp.scale(self.limits.connections, now);
+    ///
+    /// A ramp does not count here: where all agents are new, their callers are still served.
+    fn has_room(&self) -> bool {
         let requests = self.limits.slots.saturating_add(self.limits.queue);
-        let requests = self.ramp.scale(requests, now);
         self.phase == Phase::Open
             && self.limits.weight_percent > 0
-            && self.flows.connections() < connections
+            && self.flows.connections() < self.limits.connections
             && self.running.saturating_add(self.queued) < requests
     }
 
-    /// Whether the request of one more flow would find a free slot.
+    /// Whether the request of one more flow would find a free slot, of which a new agent uses a
+    /// part.
     fn has_free_slot(&self, now: Timestamp) -> bool {
-        self.has_room(now) && self.load(now).requests < self.ramp.scale(self.limits.slots, now)
+        self.has_room() && self.load(now).requests < self.ramp.scale(self.limits.slots, now)
     }
 
     fn weight_permille(&self, now: Timestamp) -> u32 {
--- a/arbutus-core/src/request/upstream.rs
+++ b/arbutus-core/src/request/upstream.rs
@@ -38,9 +38,13 @@
             self.late_head(attempt, head);
             return;
         };
-        match open.phase {
+        let phase = open.phase;
+        if phase == Phase::Sent {
+            self.failures_in_row = 0;
+        }
+        match phase {
             Phase::Sent if head.is_shed() => self.shed(attempt, head, now),
-            Phase::Sent => self.relay(attempt, head, Phase::Relaying, now),
+            Phase::Sent => self.relay(attempt, Phase::Relaying, now),
             Phase::AtOwner | Phase::AtPeer => self.peer_head(attempt, head, now),
             Phase::Queued | Phase::Connecting | Phase::Relaying | Phase::RelayingPeer => {
                 self.violated();
@@ -77,6 +81,9 @@
             }
             Phase::Connecting | Phase::Sent | Phase::AtPeer => {
                 let sent = sent && phase != Phase::Connecting;
+                if phase.holds_slot() {
+                    self.failures_in_row = self.failures_in_row.saturating_add(1);
+                }
                 self.try_again(attempt, sent, Refusal::UpstreamFailed, None, now);
             }
             Phase::Queued => self.violated(),
@@ -111,8 +118,7 @@
             let below = self.next_serial;
             KeyState::Closed { below }
         } else {
-            let status = head.status;
-            KeyState::Ran { status }
+            KeyState::Ran
         };
         self.memory.revise(key, state);
     }
@@ -122,7 +128,7 @@
         self.try_again_after_shed(attempt, head, now);
     }
 
-    fn relay(&mut self, attempt: Attempt, head: UpstreamHead, phase: Phase, now: Timestamp) {
+    fn relay(&mut self, attempt: Attempt, phase: Phase, now: Timestamp) {
         let Some(open) = self.current(attempt) else {
             return;
         };
@@ -134,8 +140,7 @@
             self.at_owners = self.at_owners.saturating_sub(1);
         }
         if let Some(key) = key {
-            let status = head.status;
-            self.memory.end(key, KeyState::Ran { status }, now);
+            self.memory.end(key, KeyState::Ran, now);
         }
         let offer = if renew { self.offer(now) } else { None };
         self.counters.ran += 1;
@@ -147,7 +152,7 @@
             return;
         };
         match head.outcome {
-            Some(Outcome::Ran) => self.relay(attempt, head, Phase::RelayingPeer, now),
+            Some(Outcome::Ran) => self.relay(attempt, Phase::RelayingPeer, now),
             Some(Outcome::NotRun) if phase == Phase::AtPeer => {
                 self.actions.push(Action::Cancel { attempt });
                 let retry_after_s = head.retry_after_s;
@@ -156,7 +161,8 @@
             Some(Outcome::NotRun) => self.owner_refused(attempt, head, now),
             Some(Outcome::Unknown) | None => {
                 self.actions.push(Action::Cancel { attempt });
-                let answer = Answer::new(head.status, Outcome::Unknown, Refusal::PeerRefused)
+                let status = head.outcome.map_or(502, |_| head.status);
+                let answer = Answer::new(status, Outcome::Unknown, Refusal::PeerRefused)
                     .retry_after_s(head.retry_after_s);
                 self.settle_closed(attempt.request, answer, now);
             }
@@ -199,13 +205,14 @@
         };
         open.doubtful |= sent;
         let was_at_peer = open.phase == Phase::AtPeer;
+        let is_first = open.attempt == 1;
         if open.phase.holds_slot() {
             self.release(open.slot_since, now);
         }
         open.phase = Phase::Queued;
         if !was_at_peer {
             self.try_elsewhere(open, reason, retry_after_s, now);
-        } else if !sent || self.spend_retry() {
+        } else if is_first && (!sent || self.spend_retry()) {
             self.admit(open, now);
         } else {
             self.refuse_after(&open, reason, retry_after_s, now);
--- a/arbutus-io/src/agent/server.rs
+++ b/arbutus-io/src/agent/server.rs
@@ -15,9 +15,10 @@
 use tokio::{sync::watch, task::JoinHandle};
 
 use super::{
-    AgentError, backend::BackendPool, caller_connection, caller_endpoint::CallerEndpoint,
-    flow_desk::FlowDesk, peer_client::PeerClient, peer_loads::PeerLoads, request_desk::RequestDesk,
-    request_task::Services, tunnel_socket::TunnelSocket,
+    AgentError, backend::BackendPool, caller_connection::CallerConnection,
+    caller_endpoint::CallerEndpoint, flow_desk::FlowDesk, peer_client::PeerClient,
+    peer_loads::PeerLoads, request_desk::RequestDesk, request_task::Services,
+    tunnel_socket::TunnelSocket,
 };
 use crate::{clock, control::ControlEndpoint, metrics::AgentMetrics};
 
@@ -132,8 +133,12 @@
         self.metrics.imbalance_thousandths.set(imbalance);
     }
 
-    /// Stops or resumes taking new flows.
+    /// Stops or resumes taking new work.
+    ///
+    /// Open connections are told to go by GOAWAY, so that their callers take the next request
+    /// elsewhere; what has come is still served.
     pub(super) fn set_draining(&self, draining: bool) {
+        self.set_goaway(draining);
         let event = if draining {
             flow::Event::Drain
         } else {
@@ -144,14 +149,24 @@
             .handle(request::Event::DrainChanged { draining });
     }
 
-    /// Serves the requests that a peer hands over on `connection`.
-    pub(super) fn serve_peer(&self, connection: quinn::Connection) {
-        let services = self.services.clone();
-        let stopping = self.stopping.subscribe();
-        tokio::spawn(async move {
-            let on_request = || {};
-            caller_connection::serve(connection, Origin::Peer, services, stopping, on_request)
-                .await;
+    /// Serves the requests that a peer hands over on `quic`.
+    pub(super) fn serve_peer(&self, quic: quinn::Connection) {
+        let connection = CallerConnection {
+            quic,
+            origin: Origin::Peer,
+            services: self.services.clone(),
+            stopping: self.stopping.subscribe(),
+            flow: None,
+        };
+        tokio::spawn(connection.serve());
+    }
+
+    /// Tells the peers of all connections to go, or no longer tells new ones so.
+    fn set_goaway(&self, goaway: bool) {
+        self.stopping.send_if_modified(|stopping| {
+            let changed = *stopping != goaway;
+            *stopping = goaway;
+            changed
         });
     }
 
@@ -163,7 +178,7 @@
     /// Begins a stop and gives a future that ends when nothing is left in hand, or `grace` later.
     pub(super) fn stop(&self, grace: Duration) -> impl Future<Output = ()> + Send + 'static {
         self.flows.handle(flow::Event::Stop);
-        let _ = self.stopping.send(true);
+        self.set_goaway(true);
         let flows = self.flows.clone();
         let requests = self.requests.clone();
         async move {
--- /dev/null
+++ b/arbutus-lab/src/deployment/running.rs
@@ -0,0 +1,228 @@
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::Ipv4Addr,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use error_stack::{Report, ResultExt};
+
+use super::{
+    AgentPlan, Binaries, DeploymentOptions, Layout, LiveNodes, LoopbackNetwork, ManagedProcess,
+    Operator, layout, settings_files, stand_ins::start_stand_ins,
+};
+use crate::{
+    error::LabError,
+    events::{Node, Role},
+    fabric::FabricCommand,
+    verdict::BackendJournal,
+};
+
+/// Balancers that an agent is told of at its start.
+const INTRODUCED: usize = 3;
+
+/// A running deployment; all its processes end with it.
+#[derive(Debug)]
+pub struct Deployment {
+    pub(super) layout: Layout,
+    binaries: Binaries,
+    options: DeploymentOptions,
+    operator: Operator,
+    pub(super) live: LiveNodes,
+    pub(super) balancers: BTreeMap<u32, ManagedProcess>,
+    pub(super) agents: BTreeMap<Arc<str>, ManagedProcess>,
+    pub(super) backends: BTreeMap<Arc<str>, (AgentPlan, ManagedProcess)>,
+    /// What backend servers wrote down that are gone.
+    pub(super) retired: Vec<BackendJournal>,
+    /// The fabric and the store.
+    _stand_ins: Vec<ManagedProcess>,
+    /// Dropped last, so that no process misses its files.
+    pub(super) folder: tempfile::TempDir,
+}
+
+impl Deployment {
+    /// Starts everything and waits until all balancers know all agents.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a process cannot be started or does not become ready.
+    pub async fn start(
+        binaries: Binaries,
+        options: DeploymentOptions,
+    ) -> Result<Self, Report<LabError>> {
+        let network = LoopbackNetwork::claim()?;
+        let layout = Layout::new(network, options.failure_domains, options.services.clone());
+        let folder = tempfile::Builder::new()
+            .prefix("arbutus-lab-")
+            .tempdir()
+            .change_context(LabError::File)?;
+        fs::create_dir(folder.path().join("logs")).change_context(LabError::File)?;
+        let names: Vec<&str> = options.services.iter().map(|it| &*it.name).collect();
+        let keys = folder.path().join("keys");
+        Operator::make_keys(&binaries.operator, &keys, &names).await?;
+        let live = LiveNodes::default();
+        let files = folder.path().join("services");
+        let operator = Operator::new(&binaries.operator, &files, &layout, &live)?;
+        let stand_ins = start_stand_ins(&binaries, &options, &layout, folder.path()).await?;
+        let mut deployment = Self {
+            layout,
+            binaries,
+            options,
+            operator,
+            live,
+            balancers: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            retired: Vec::new(),
+            _stand_ins: stand_ins,
+            folder,
+        };
+        deployment.start_nodes().await?;
+        Ok(deployment)
+    }
+
+    async fn start_nodes(&mut self) -> Result<(), Report<LabError>> {
+        for number in 1..=self.options.balancers {
+            self.start_balancer(number).await?;
+        }
+        self.operator.apply().await?;
+        for plan in self.layout.agents() {
+            self.start_agent(plan).await?;
+        }
+        self.wait_for_roster().await
+    }
+
+    /// Starts a balancer and tells the fabric of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it does not become ready.
+    pub async fn start_balancer(&mut self, number: u32) -> Result<(), Report<LabError>> {
+        let name: Arc<str> = Arc::from(Node::balancer(number).to_string());
+        let host = self.layout.balancer(number);
+        let peers: Vec<_> = self.balancer_hosts(number).take(INTRODUCED).collect();
+        let settings =
+            settings_files::write_balancer(self.folder.path(), &self.layout, number, &peers)?;
+        let args = [PathBuf::from("--config"), settings];
+        let log = log(self.folder.path(), &name);
+        let process = ManagedProcess::start(&name, &self.binaries.balancer, &args, &log)?;
+        self.balancers.insert(number, process);
+        let admin = layout::admin_listen(host);
+        self.wait_for_health(admin, &name).await?;
+        self.live.add(&name, admin);
+        let address = layout::fabric_listen(host);
+        self.fabric(&FabricCommand::AddBalancer { address }).await
+    }
+
+    /// Starts an agent, and its backend server where that does not run.
+    ///
+    /// # Errors
+    ///
+    /// Fails where one of them does not become ready.
+    pub async fn start_agent(&mut self, plan: AgentPlan) -> Result<(), Report<LabError>> {
+        if !self.backends.contains_key(&plan.name) {
+            let process = self.start_backend(&plan).await?;
+            let name = Arc::clone(&plan.name);
+            self.backends.insert(name, (plan.clone(), process));
+        }
+        let balancers: Vec<_> = self.balancer_hosts(0).take(INTRODUCED).collect();
+        let folder = self.folder.path();
+        let settings = settings_files::write_agent(folder, &self.layout, &plan, &balancers)?;
+        let args = [PathBuf::from("--config"), settings];
+        let log = log(folder, &plan.name);
+        let agent = ManagedProcess::start(&plan.name, &self.binaries.agent, &args, &log)?;
+        let admin = layout::admin_listen(plan.host);
+        let name = Arc::clone(&plan.name);
+        self.agents.insert(Arc::clone(&name), agent);
+        self.wait_for_health(admin, &name).await?;
+        self.live.add(&name, admin);
+        Ok(())
+    }
+
+    async fn start_backend(&self, plan: &AgentPlan) -> Result<ManagedProcess, Report<LabError>> {
+        let seed = self.options.seed ^ u64::from(plan.host.to_bits());
+        let args = [
+            String::from("backend"),
+            format!("--name={}", plan.name),
+            format!("--service={}", plan.service),
+            format!("--listen={}", layout::backend_listen(plan.host)),
+            format!("--admin={}", layout::backend_admin(plan.host)),
+            format!("--mean-ms={}", self.options.mean_service_ms),
+            format!("--seed={seed}"),
+        ];
+        let name = format!("{}-backend", plan.name);
+        let log = log(self.folder.path(), &name);
+        ManagedProcess::start_announced(&name, &self.binaries.lab, &args, &log).await
+    }
+
+    /// Starts a node that does not run, perhaps a new one; one that was asked to end ends first.
+    ///
+    /// # Errors
+    ///
+    /// Fails where its former process does not end, or it does not become ready.
+    pub async fn start_node(&mut self, node: Node) -> Result<(), Report<LabError>> {
+        if self.process(node).is_ok() {
+            self.wait_for_end(node).await?;
+        }
+        match node.role {
+            Role::Balancer => self.start_balancer(node.number).await,
+            Role::Agent => self.start_agent(self.layout.agent(node.number)).await,
+        }
+    }
+
+    /// Which node has which address.
+    #[must_use]
+    pub const fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
+    /// The operator of the deployment.
+    #[must_use]
+    pub const fn operator(&self) -> &Operator {
+        &self.operator
+    }
+
+    /// The daemons that run now.
+    #[must_use]
+    pub const fn live(&self) -> &LiveNodes {
+        &self.live
+    }
+
+    /// The file with the certificate that callers trust.
+    #[must_use]
+    pub fn ca(&self) -> PathBuf {
+        self.folder.path().join("keys/ca.pem")
+    }
+
+    /// The addresses of the balancers in a failure domain.
+    #[must_use]
+    pub fn balancers_in(&self, failure_domain: &str) -> Vec<Ipv4Addr> {
+        let hosts = self.balancers.keys().map(|it| self.layout.balancer(*it));
+        hosts
+            .filter(|host| self.layout.failure_domain(*host) == failure_domain)
+            .collect()
+    }
+
+    /// Keeps the files of the deployment after its end, and tells where.
+    pub fn keep_files(&mut self) -> &Path {
+        self.folder.disable_cleanup(true);
+        self.folder.path()
+    }
+
+    /// The addresses of balancers that run, but for the one numbered `except`.
+    fn balancer_hosts(&self, except: u32) -> impl Iterator<Item = Ipv4Addr> {
+        let live = self.live.all();
+        let runs =
+            move |number: &u32| live.contains_key(Node::balancer(*number).to_string().as_str());
+        let others = self.balancers.keys().filter(move |it| **it != except);
+        others
+            .copied()
+            .filter(runs)
+            .map(|it| self.layout.balancer(it))
+    }
+}
+
+pub(super) fn log(folder: &Path, name: &str) -> PathBuf {
+    folder.join("logs").join(format!("{name}.log"))
+}
--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -6,12 +6,16 @@
 
 pub mod admin;
 pub mod backend;
+pub mod baseline;
 pub mod caller;
 pub mod clock;
 pub mod command;
 pub mod content;
+pub mod deployment;
 pub mod error;
 pub mod events;
+pub mod experiment;
 pub mod fabric;
+pub mod report;
 pub mod store;
 pub mod verdict;
