--- a/arbutus-core/src/flow/flow_admission.rs
+++ b/arbutus-core/src/flow/flow_admission.rs
@@ -16,6 +16,10 @@
     tunnel::TunnelHeader,
 };
 
+/// Hops from which an agent with room takes a flow even where a peer seems better, since the peer
+/// may be full by now and the flow's hops are few.
+const PREFERRING_HOPS: u8 = 2;
+
 /// Whether new flows may be admitted at all.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -146,7 +150,7 @@
         Load {
             requests: in_hand.saturating_add(presumed),
             connections: self.flows.connections(),
-            weight_permille: if self.has_room(now) {
+            weight_permille: if self.has_room() {
                 self.weight_permille(now)
             } else {
                 0
@@ -194,6 +198,7 @@
         let came_round = passed.is_some_and(|passed| header.hops > passed.hops);
         if let Some(passed) = passed
             && !came_round
+            && header.hops < self.policy.max_hops
             && !self.peers.is_lost(passed.to, &self.policy, now)
         {
             self.counts.repeated += 1;
@@ -213,11 +218,13 @@
         came_round: bool,
         now: Timestamp,
     ) -> Admission {
-        let must_decide = came_round || header.hops >= self.policy.max_hops;
-        let target = if must_decide {
-            None
-        } else {
+        let has_room = self.has_room();
+        let may_prefer = !came_round && header.hops < PREFERRING_HOPS;
+        let may_pass_on = header.hops < self.policy.max_hops && (may_prefer || !has_room);
+        let target = if may_pass_on {
             self.choose_peer(header, now)
+        } else {
+            None
         };
         let Some(to) = target else {
             return self.accept_or_refuse(flow, now);
@@ -266,7 +273,7 @@
         if self.phase != Phase::Open {
             return Admission::Refuse(Refusal::Draining);
         }
-        if !self.has_room(now) || !self.admit(flow, false, now) {
+        if !self.has_room() || !self.admit(flow, false, now) {
             return Admission::Refuse(Refusal::Full);
         }
         Admission::Accept
@@ -290,7 +297,7 @@
         if self.flows.open(&flow) {
             return;
         }
-        if !self.has_room(now) || !self.admit(flow, true, now) {
+        if !self.has_room() || !self.admit(flow, true, now) {
             actions.push(Action::Close(flow));
         }
     }
@@ -403,19 +410,20 @@
     }
 
     /// Whether one more flow may be admitted.
-    fn has_room(&self, now: Timestamp) -> bool {
-        let connections = self.ramp.scale(self.limits.connections, now);
+    ///
+    /// A ramp does not count here: where all agents are new, their callers are still served.
+    fn has_room(&self) -> bool {
         let requests = self.limits.slots.saturating_add(self.limits.queue);
-        let requests = self.ramp.scale(requests, now);
         self.phase == Phase::Open
             && self.limits.weight_percent > 0
-            && self.flows.connections() < connections
+            && self.flows.connections() < self.limits.connections
             && self.running.saturating_add(self.queued) < requests
     }
 
-    /// Whether the request of one more flow would find a free slot.
+    /// Whether the request of one more flow would find a free slot, of which a new agent uses a
+    /// part.
     fn has_free_slot(&self, now: Timestamp) -> bool {
-        self.has_room(now) && self.load(now).requests < self.ramp.scale(self.limits.slots, now)
+        self.has_room() && self.load(now).requests < self.ramp.scale(self.limits.slots, now)
     }
 
     fn weight_permille(&self, now: Timestamp) -> u32 {
--- a/arbutus-core/src/flow/peer.rs
+++ b/arbutus-core/src/flow/peer.rs
@@ -90,10 +90,12 @@
     /// Whether a flow sent there a moment ago may be lost. Silence alone does not say so of a peer
     /// that the roster holds for ready, since it may report to others now.
     pub(super) fn is_lost(&self, policy: &FlowPolicy, now: Timestamp) -> bool {
-        !self.is_fresh(policy, now)
-            && self
-                .listed
-                .is_none_or(|it| matches!(it.state, AgentState::Suspect | AgentState::Gone))
+        let state = self.listed.map(|listed| listed.state);
+        match state {
+            Some(AgentState::Ready | AgentState::Draining) => false,
+            Some(AgentState::Gone) => self.has_left(),
+            Some(AgentState::Suspect) | None => !self.is_fresh(policy, now),
+        }
     }
 
     pub(super) fn report_address(&self) -> Option<SocketAddrV4> {
--- /dev/null
+++ b/arbutus-core/tests/flow/arrival_cases.rs
@@ -0,0 +1,71 @@
+use arbutus_core::{
+    cid::{self, FlowOwner},
+    flow::{self, Arrival, FlowDrop},
+    ident::{Incarnation, ServiceTag},
+    keys::{KeyRing, SystemKey},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+use super::fleet::{header, tag, tunnel};
+
+struct Owner {
+    agent: usize,
+    service: &'static str,
+    incarnation: u64,
+}
+
+const OWN: Owner = Owner {
+    agent: 0,
+    service: "lookup",
+    incarnation: 1,
+};
+
+impl Owner {
+    fn flow_owner(&self) -> FlowOwner {
+        let tag = ServiceTag::of_name(self.service);
+        FlowOwner::new(tunnel(self.agent), tag, Incarnation::new(self.incarnation))
+    }
+}
+
+fn keys() -> KeyRing {
+    KeyRing::single(SystemKey::derive(&[3; SystemKey::SECRET_BYTES]))
+}
+
+fn short_packet(owner: &Owner) -> Vec<u8> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut packet = vec![0x40];
+    packet.extend(cid::encode(&owner.flow_owner(), &keys(), &mut rng));
+    packet
+}
+
+#[rstest]
+#[case::own(OWN, Arrival::Established)]
+#[case::earlier_life(Owner { incarnation: 7, ..OWN }, Arrival::Former)]
+#[case::other_agent(Owner { agent: 1, ..OWN }, Arrival::Drop(FlowDrop::OtherAgent))]
+#[case::other_service(Owner { service: "tables", ..OWN }, Arrival::Drop(FlowDrop::WrongService))]
+fn a_packet_is_taken_by_its_owner_only(#[case] owner: Owner, #[case] want: Arrival<'static>) {
+    let packet = short_packet(&owner);
+    let found = flow::receive(&OWN.flow_owner(), &keys(), header(&[], 0), &packet);
+    assert_eq!(found, want);
+}
+
+#[test]
+fn a_header_of_another_service_is_dropped_whatever_the_packet() {
+    let mut header = header(&[], 0);
+    header.tag = ServiceTag::of_name("tables");
+    assert_ne!(header.tag, tag());
+    let packet = short_packet(&OWN);
+    let found = flow::receive(&OWN.flow_owner(), &keys(), header, &packet);
+    assert_eq!(found, Arrival::Drop(FlowDrop::WrongService));
+}
+
+#[rstest]
+#[case::empty(&[], FlowDrop::Malformed)]
+#[case::cut(&[0x40, 1, 2], FlowDrop::Malformed)]
+#[case::foreign(&[0x40; 60], FlowDrop::ForeignId)]
+fn a_packet_of_nobody_is_dropped(#[case] packet: &[u8], #[case] want: FlowDrop) {
+    let found = flow::receive(&OWN.flow_owner(), &keys(), header(&[], 0), packet);
+    assert_eq!(found, Arrival::Drop(want));
+}
--- /dev/null
+++ b/arbutus-core/tests/flow/fleet.rs
@@ -0,0 +1,163 @@
+use std::{net::SocketAddrV4, sync::Arc};
+
+use arbutus_core::{
+    flow::{Action, Admission, Event, FirstPacket, FlowAdmission, FlowKey, FlowLimits, FlowPolicy},
+    ident::{Incarnation, ServiceTag},
+    roster::{AgentRecord, AgentState},
+    time::Timestamp,
+    tunnel::{Candidates, Endpoints, TunnelHeader},
+};
+
+/// Visits after which a flow is held to go round for ever.
+const MOST_VISITS: usize = 10;
+
+/// A few agents of one service, with links that carry reports at once or not at all.
+pub struct Fleet {
+    pub agents: Vec<FlowAdmission>,
+    pub now: Timestamp,
+    pub linked: bool,
+    /// Flows whose connection an agent asked to close, and agents that are drained.
+    pub notes: Vec<String>,
+}
+
+/// The agents that a flow came to, and what the last one said.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Way {
+    pub agents: Vec<usize>,
+    pub end: Admission,
+}
+
+impl Fleet {
+    pub fn new(agents: usize, limits: FlowLimits, policy: FlowPolicy) -> Self {
+        let now = Timestamp::from_millis(1_000);
+        let machine = |index| {
+            let incarnation = Incarnation::new(1);
+            FlowAdmission::new(tunnel(index), tag(), incarnation, limits, policy, now)
+        };
+        let mut fleet = Self {
+            agents: (0..agents).map(machine).collect(),
+            now,
+            linked: false,
+            notes: Vec::new(),
+        };
+        for agent in 0..agents {
+            fleet.list(agent, |_| AgentState::Ready);
+        }
+        fleet.linked = true;
+        fleet
+    }
+
+    /// Tells `agent` the roster, with the states that it knows of.
+    pub fn list(&mut self, agent: usize, state: impl Fn(usize) -> AgentState) {
+        let records = (0..self.agents.len()).map(|index| record(index, state(index)));
+        self.feed(agent, Event::Peers(records.collect()));
+    }
+
+    pub fn feed(&mut self, agent: usize, event: Event) {
+        let actions = self.agents[agent].handle(event, self.now);
+        for action in actions {
+            self.act(agent, action);
+        }
+    }
+
+    fn act(&mut self, agent: usize, action: Action) {
+        match action {
+            Action::Report { tunnel, report, .. } if self.linked => {
+                self.feed(index(tunnel), Event::Report(report));
+            }
+            Action::Report { .. } => {}
+            Action::Close(_) => self.notes.push(format!("{} closes", name(agent))),
+            Action::Drained => self.notes.push(format!("{} drained", name(agent))),
+        }
+    }
+
+    /// Passes time, with the wake-ups that the agents ask for.
+    pub fn run_until(&mut self, end: Timestamp) {
+        loop {
+            let wakeups = self.agents.iter().map(FlowAdmission::next_wakeup);
+            let due = wakeups.enumerate().map(|(agent, at)| (at, agent)).min();
+            let Some((at, agent)) = due.filter(|(at, _)| *at <= end) else {
+                break;
+            };
+            self.now = self.now.max(at);
+            self.feed(agent, Event::Tick);
+        }
+        self.now = end;
+    }
+
+    pub fn first(&mut self, agent: usize, flow: u64, header: TunnelHeader) -> Admission {
+        let packet = FirstPacket {
+            header,
+            dcid: &flow.to_be_bytes(),
+            full_size: true,
+        };
+        self.agents[agent].on_first_packet(&packet, self.now)
+    }
+
+    /// Sends the first packet of a flow to the first of `named` and follows it to its end.
+    pub fn follow(&mut self, flow: u64, named: &[usize]) -> Way {
+        let mut header = header(&named[1..], 0);
+        let mut agents = vec![named[0]];
+        loop {
+            let agent = agents[agents.len() - 1];
+            match self.first(agent, flow, header) {
+                Admission::PassOn(hop) => {
+                    header = hop.header;
+                    agents.push(index(hop.to));
+                    assert!(agents.len() <= MOST_VISITS, "a flow goes round: {agents:?}");
+                }
+                end => return Way { agents, end },
+            }
+        }
+    }
+}
+
+pub fn tag() -> ServiceTag {
+    ServiceTag::of_name("lookup")
+}
+
+pub fn name(agent: usize) -> char {
+    char::from(b'a' + u8::try_from(agent).expect("few agents"))
+}
+
+pub fn tunnel(agent: usize) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, u8::try_from(agent).expect("few")].into(), 4_000)
+}
+
+pub fn index(tunnel: SocketAddrV4) -> usize {
+    usize::from(tunnel.ip().octets()[3])
+}
+
+pub fn caller() -> SocketAddrV4 {
+    SocketAddrV4::new([198, 51, 100, 7].into(), 5_000)
+}
+
+pub fn key(flow: u64) -> FlowKey {
+    FlowKey::new(caller(), &flow.to_be_bytes()).expect("a valid length")
+}
+
+pub fn header(named: &[usize], hops: u8) -> TunnelHeader {
+    let endpoints = Endpoints {
+        source: caller(),
+        destination: SocketAddrV4::new([192, 0, 2, 1].into(), 443),
+    };
+    let candidates: Candidates = named.iter().map(|agent| tunnel(*agent)).collect();
+    TunnelHeader::new(endpoints, tag())
+        .candidates(candidates)
+        .hops(hops)
+}
+
+fn record(agent: usize, state: AgentState) -> AgentRecord {
+    AgentRecord {
+        tunnel: tunnel(agent),
+        control: tunnel(agent),
+        name: Arc::from(name(agent).to_string()),
+        admin_port: 0,
+        failure_domain: Arc::from("mvd-a"),
+        tag: tag(),
+        incarnation: Incarnation::new(1),
+        version: 1,
+        state,
+        weight_percent: 100,
+    }
+}
