--- a/arbutus-core/tests/flow/script.rs
+++ b/arbutus-core/tests/flow/script.rs
@@ -1,6 +1,6 @@
 //! The script language: agents go by letters, flows by numbers, time in milliseconds.
 
-use std::{error::Error, str::FromStr};
+use std::{error::Error, fmt::Write, str::FromStr};
 
 use arbutus_core::{
     flow::{Admission, Event, FirstPacket, FlowLimits, FlowPolicy},
@@ -153,7 +153,7 @@
             "reports_sent" => counts.reports_sent,
             other => return Err(format!("no count {other}").into()),
         };
-        output += &format!("{arg} {value}\n");
+        writeln!(output, "{arg} {value}")?;
     }
     Ok(output)
 }
@@ -174,9 +174,7 @@
     name: &str,
     default: T,
 ) -> Result<T, Failure> {
-    Ok(args
-        .take_key(name)
-        .map_or(Ok(default), |arg| arg.parse::<T>())?)
+    Ok(args.take_key(name).map_or(Ok(default), str::parse::<T>)?)
 }
 
 #[rstest]
--- a/arbutus-core/tests/route/forward_cases.rs
+++ b/arbutus-core/tests/route/forward_cases.rs
@@ -24,21 +24,20 @@
     want: Want,
 }
 
-fn cases() -> Vec<Case> {
-    let case = |name, destination, packet, want| Case {
+fn case(name: &'static str, destination: &'static str, packet: Vec<u8>, want: Want) -> Case {
+    Case {
         name,
         destination,
         packet,
         want,
-    };
+    }
+}
+
+/// Packets that go to an agent.
+fn forwarded() -> Vec<Case> {
     let keys = keys();
     let own = issued("lookup", &keys);
-    let other_system = KeyRing::single(SystemKey::derive(&[4; SystemKey::SECRET_BYTES]));
-    let stranger = issued("lookup", &other_system);
-    let mut changed = own;
-    changed[10] ^= 1;
-    let mut unknown_key = own;
-    unknown_key[0] |= 0xc0;
+    let stranger = issued("lookup", &other_system());
     let foreign = [7; 8];
     let grease = [0x1a, 0x2a, 0x3a, 0x4a];
     vec![
@@ -69,6 +68,20 @@
             initial(&stranger),
             Want::Candidates,
         ),
+    ]
+}
+
+/// Packets that go nowhere.
+fn dropped() -> Vec<Case> {
+    let keys = keys();
+    let own = issued("lookup", &keys);
+    let stranger = issued("lookup", &other_system());
+    let mut changed = own;
+    changed[10] ^= 1;
+    let mut unknown_key = own;
+    unknown_key[0] |= 0xc0;
+    let foreign = [7; 8];
+    vec![
         case(
             "flow of another service",
             "tables",
@@ -138,10 +151,14 @@
     ]
 }
 
+fn other_system() -> KeyRing {
+    KeyRing::single(SystemKey::derive(&[4; SystemKey::SECRET_BYTES]))
+}
+
 #[test]
 fn each_packet_goes_where_its_id_says() {
     let table = fixture::table(7);
-    for case in cases() {
+    for case in forwarded().into_iter().chain(dropped()) {
         let found = route::forward(&table, &keys(), endpoints(case.destination), &case.packet);
         assert_eq!(classify(found), case.want, "{}", case.name);
     }
