perf(settings): files are merged all at once, and their cost is measured

Cause: each file was merged into the whole so far, so that a folder of many files took time by the square. Ruled out: copying of values. Now all layers of one key are merged together.

--- /dev/null
+++ b/arbutus-bench/src/configuration/sizes.rs
@@ -0,0 +1,113 @@
+use std::{fs, path::Path, sync::Arc, time::Instant};
+
+use arbutus_core::apply::{Apply, Base, ChangeId, ChangeRecord, Services, Stored};
+use arbutus_settings::operator::OperatorFolder;
+use error_stack::{Report, ResultExt};
+use serde::Serialize;
+
+use super::{options::Options, store::MemoryStore};
+use crate::bench_error::BenchError;
+
+/// Backend servers of a service that the files have a word on.
+const BACKEND_SERVERS_NAMED: usize = 1;
+
+/// The figures of one number of services.
+#[derive(Debug, Serialize)]
+struct Figures {
+    services: usize,
+    /// Loading, merging and checking the folder.
+    check_ms: f64,
+    /// Deciding and encoding one change, without the store's own time.
+    change_ms: f64,
+    /// Calls to the store for one change, a read of everything included.
+    change_calls: usize,
+    /// Bytes of values for one change, read and written.
+    change_bytes: usize,
+    index_bytes: usize,
+    largest_shard_bytes: usize,
+}
+
+/// Measures each size and prints its figures.
+pub(super) fn measure(options: &Options) -> Result<(), Report<BenchError>> {
+    if !options.json {
+        println!("services  check ms  change ms  calls  bytes moved  index  largest shard");
+    }
+    for services in &options.services {
+        let figures = measure_size(*services)?;
+        if options.json {
+            let line = serde_json::to_string(&figures).change_context(BenchError::Failed)?;
+            println!("{line}");
+        } else {
+            println!(
+                "{:>8}  {:>8.1}  {:>9.1}  {:>5}  {:>11}  {:>5}  {:>13}",
+                figures.services,
+                figures.check_ms,
+                figures.change_ms,
+                figures.change_calls,
+                figures.change_bytes,
+                figures.index_bytes,
+                figures.largest_shard_bytes
+            );
+        }
+    }
+    Ok(())
+}
+
+fn measure_size(services: usize) -> Result<Figures, Report<BenchError>> {
+    let folder = tempfile::tempdir().change_context(BenchError::Failed)?;
+    write_folder(folder.path(), services)?;
+    let clock = Instant::now();
+    let loaded = OperatorFolder::load(folder.path()).change_context(BenchError::Failed)?;
+    let check_ms = clock.elapsed().as_secs_f64() * 1_000.0;
+
+    let mut store = MemoryStore::default();
+    store.commit(change(1, Base::default(), loaded.services.clone()));
+    let base = base_of(&store.read());
+    let (calls, bytes) = (store.calls, store.bytes);
+    let mut wanted = loaded.services;
+    Arc::make_mut(&mut wanted[services / 2]).requests.slots += 1;
+    let clock = Instant::now();
+    store.commit(change(2, base, wanted));
+    let change_ms = clock.elapsed().as_secs_f64() * 1_000.0;
+    Ok(Figures {
+        services,
+        check_ms,
+        change_ms,
+        change_calls: store.calls - calls,
+        change_bytes: store.bytes - bytes,
+        index_bytes: store.index_bytes(),
+        largest_shard_bytes: store.largest_shard_bytes(),
+    })
+}
+
+fn change(id: u8, base: Base, wanted: Services) -> Apply {
+    let record = ChangeRecord::new(ChangeId::new([id; 16]), "bench", 0);
+    Apply::new(base, wanted, record, 1)
+}
+
+fn base_of(stored: &Stored) -> Base {
+    Base {
+        version: stored.version(),
+        change: None,
+        services: stored.plain_services(),
+        floor: stored.version(),
+    }
+}
+
+fn write_folder(folder: &Path, services: usize) -> Result<(), Report<BenchError>> {
+    for number in 0..services {
+        let name = format!("service-{number}");
+        let (third, fourth) = (number / 250, number % 250 + 1);
+        let servers: Vec<_> = (0..BACKEND_SERVERS_NAMED)
+            .map(|server| format!("\"{name}-{server}\": {{ \"state\": \"join\" }}"))
+            .collect();
+        let text = format!(
+            "{{ \"services\": {{ \"{name}\": {{\n  \"address\": \"10.0.{third}.{fourth}:443\",\n  \
+             \"backend_servers\": {{ {} }}\n}} }} }}\n",
+            servers.join(", ")
+        );
+        let path = folder.join(format!("{name}.jsonc"));
+        fs::write(path, text).change_context(BenchError::Failed)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/arbutus-bench/src/configuration/store.rs
@@ -0,0 +1,85 @@
+use std::collections::BTreeMap;
+
+use arbutus_core::{
+    apply::{
+        Action, Apply, Event, Index, Outcome, Revision, Shard, ShardKey, Stored, StoredService,
+        Swap,
+    },
+    time::Timestamp,
+};
+
+/// A store in memory that counts calls and bytes.
+#[derive(Debug, Default)]
+pub(super) struct MemoryStore {
+    revision: u64,
+    index: Vec<u8>,
+    shards: BTreeMap<ShardKey, Vec<u8>>,
+    /// Calls to the store so far.
+    pub(super) calls: usize,
+    /// Bytes of values, read and written, so far.
+    pub(super) bytes: usize,
+}
+
+impl MemoryStore {
+    /// Runs a change to its end.
+    pub(super) fn commit(&mut self, mut apply: Apply) -> Outcome {
+        let mut event = Event::Started;
+        loop {
+            event = match apply.handle(event, Timestamp::ZERO) {
+                Action::Read => Event::Read(Ok(self.read())),
+                Action::WriteShards(shards) => {
+                    for shard in shards {
+                        self.count(shard.bytes.len());
+                        self.shards.insert(shard.key, shard.bytes);
+                    }
+                    Event::ShardsWritten(Ok(()))
+                }
+                Action::SwapIndex { bytes, .. } => {
+                    self.count(bytes.len());
+                    self.index = bytes;
+                    self.revision += 1;
+                    Event::Swapped(Ok(Swap::Done))
+                }
+                Action::Wait => Event::Woken,
+                Action::Finish(outcome) => return outcome,
+            };
+        }
+    }
+
+    /// Reads the whole configuration, as a program without earlier shards does.
+    pub(super) fn read(&mut self) -> Stored {
+        self.count(self.index.len());
+        let Ok(index) = Index::decode(&self.index) else {
+            return Stored::default();
+        };
+        let mut services: Vec<StoredService> = Vec::new();
+        for key in &index.shards {
+            let bytes = self.shards.get(key).cloned().unwrap_or_default();
+            self.count(bytes.len());
+            services.extend(Shard::decode(key, &bytes).unwrap_or_default().services);
+        }
+        Stored {
+            revision: Revision::new(self.revision),
+            index: Some(index),
+            services: services
+                .into_iter()
+                .map(|it| (it.service.tag(), it))
+                .collect(),
+        }
+    }
+
+    /// Bytes of the index.
+    pub(super) fn index_bytes(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Bytes of the largest shard.
+    pub(super) fn largest_shard_bytes(&self) -> usize {
+        self.shards.values().map(Vec::len).max().unwrap_or(0)
+    }
+
+    fn count(&mut self, bytes: usize) {
+        self.calls += 1;
+        self.bytes += bytes;
+    }
+}
--- a/arbutus-bench/src/lib.rs
+++ b/arbutus-bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Measurements of arbutusstage, each a subcommand of `arbutus-bench`.
 
 pub mod bench_error;
+pub mod configuration;
 pub mod data_path;
 pub mod membership;
 pub mod policy;
--- a/arbutus-bench/src/main.rs
+++ b/arbutus-bench/src/main.rs
@@ -2,7 +2,9 @@
 
 use std::process::ExitCode;
 
-use arbutus_bench::{bench_error::BenchError, data_path, membership, policy, requests};
+use arbutus_bench::{
+    bench_error::BenchError, configuration, data_path, membership, policy, requests,
+};
 use error_stack::{Report, ResultExt};
 use lexopt::{Arg, Parser};
 
@@ -10,6 +12,8 @@
 Usage: arbutus-bench MEASUREMENT [OPTIONS]
 
 Measurements:
+  configuration
+              files, store and commit as services grow
   data-path   datagrams a second, beside a relay that decides nothing
   membership  who is there and which configuration is in force, among many nodes
   policy      how new flows are spread over backend servers
@@ -41,6 +45,7 @@
             println!("arbutus-bench {}", env!("CARGO_PKG_VERSION"));
         }
         Some(Arg::Value(name)) => match name.to_str() {
+            Some("configuration") => return configuration::run(parser),
             Some("data-path") => return data_path::run(parser),
             Some("membership") => return membership::run(parser),
             Some("policy") => return policy::run(parser),
--- a/arbutus-settings/src/operator/merge.rs
+++ b/arbutus-settings/src/operator/merge.rs
@@ -1,26 +1,39 @@
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 
 use crate::{
     document::{Document, Entry, Node, Value},
-    findings::Findings,
+    findings::{Findings, Place},
     scalar,
 };
 
 /// The key by which a file replaces values of earlier ones.
 const OVERRIDE: &str = "override";
 
+/// What one file says at some place.
+struct Layer {
+    node: Node,
+    /// Whether it replaces what earlier files say.
+    overrides: bool,
+}
+
+/// What all files say under one key.
+struct Group {
+    /// Where the key stands first.
+    place: Place,
+    layers: Vec<Layer>,
+}
+
 /// Merges the files, which stand in the order of their names, into one value.
 pub(super) fn merge(documents: Vec<Document>, findings: &mut Findings) -> Option<Node> {
-    let mut merged: Option<Node> = None;
-    for document in documents {
-        let mut root = document.into_root();
-        let overrides = take_override(&mut root, findings);
-        merged = Some(match merged {
-            None => root,
-            Some(earlier) => merge_nodes(earlier, root, overrides, findings),
-        });
-    }
-    merged
+    let layer = |document: Document| {
+        let mut node = document.into_root();
+        let overrides = take_override(&mut node, findings);
+        Layer { node, overrides }
+    };
+    let layers: Vec<_> = documents.into_iter().map(layer).collect();
+    merge_layers(layers, findings)
 }
 
 fn take_override(root: &mut Node, findings: &mut Findings) -> bool {
@@ -33,51 +46,63 @@
     value.unwrap_or(false)
 }
 
-fn merge_nodes(earlier: Node, later: Node, overrides: bool, findings: &mut Findings) -> Node {
-    match (earlier.value, later.value) {
-        (Value::Object(first), Value::Object(second)) => Node {
-            place: earlier.place,
-            value: Value::Object(merge_entries(first, second, overrides, findings)),
-        },
-        (_, value) if overrides => Node {
-            place: later.place,
-            value,
-        },
-        (first, second) => {
-            if !first.says_the_same_as(&second) {
-                let message = format!(
-                    "set differently at {}; a later file replaces values only with \
-                     `\"override\": true`",
-                    earlier.place
-                );
-                findings.add(&later.place, message);
-            }
-            Node {
-                place: earlier.place,
-                value: first,
-            }
+/// Merges what the files say at one place; objects are merged key by key.
+fn merge_layers(layers: Vec<Layer>, findings: &mut Findings) -> Option<Node> {
+    let mut valid: Vec<Layer> = Vec::new();
+    for layer in layers {
+        let Some(first) = valid.first() else {
+            valid.push(layer);
+            continue;
+        };
+        if is_object(&first.node) && is_object(&layer.node) {
+            valid.push(layer);
+        } else if layer.overrides {
+            valid = vec![layer];
+        } else if !first.node.value.says_the_same_as(&layer.node.value) {
+            let message = format!(
+                "set differently at {}; a later file replaces values only with \
+                 `\"override\": true`",
+                first.node.place
+            );
+            findings.add(&layer.node.place, message);
         }
     }
+    if valid.len() < 2 {
+        return valid.pop().map(|layer| layer.node);
+    }
+    Some(merge_objects(valid, findings))
 }
 
-fn merge_entries(
-    earlier: Vec<Entry>,
-    later: Vec<Entry>,
-    overrides: bool,
-    findings: &mut Findings,
-) -> Vec<Entry> {
-    let keyed = earlier.into_iter().map(|entry| (entry.key.clone(), entry));
-    let mut merged: IndexMap<_, _> = keyed.collect();
-    for entry in later {
-        let entry = match merged.get(&entry.key) {
-            None => entry,
-            Some(known) => Entry {
-                key: known.key.clone(),
-                place: known.place.clone(),
-                node: merge_nodes(known.node.clone(), entry.node, overrides, findings),
-            },
+const fn is_object(node: &Node) -> bool {
+    matches!(node.value, Value::Object(_))
+}
+
+fn merge_objects(layers: Vec<Layer>, findings: &mut Findings) -> Node {
+    let place = layers[0].node.place.clone();
+    let mut groups = IndexMap::<Arc<str>, Group>::new();
+    for layer in layers {
+        let Value::Object(entries) = layer.node.value else {
+            continue;
         };
-        merged.insert(entry.key.clone(), entry);
+        for entry in entries {
+            let group = groups.entry(entry.key).or_insert_with(|| Group {
+                place: entry.place,
+                layers: Vec::new(),
+            });
+            group.layers.push(Layer {
+                node: entry.node,
+                overrides: layer.overrides,
+            });
+        }
+    }
+    let merged = groups.into_iter().filter_map(|(key, group)| {
+        let node = merge_layers(group.layers, findings)?;
+        let place = group.place;
+        Some(Entry { key, place, node })
+    });
+    let entries = merged.collect();
+    Node {
+        place,
+        value: Value::Object(entries),
     }
-    merged.into_values().collect()
 }
--- a/arbutus-settings/tests/findings.rs
+++ b/arbutus-settings/tests/findings.rs
@@ -87,6 +87,15 @@
     ],
     findings: &[],
 })]
+#[case::after_an_override_a_difference_names_the_value_in_force(Case {
+    files: &[
+        File { name: "a.jsonc", text: r#"{ "services": { "lookup": { "address": "192.0.2.1:443" } } }"# },
+        File { name: "b.jsonc", text: r#"{ "override": true, "services": { "lookup": { "address": "192.0.2.2:443" } } }"# },
+        File { name: "c.jsonc", text: r#"{ "services": { "lookup": { "address": "192.0.2.1:443" } } }"# },
+    ],
+    findings: &["DIR/c.jsonc:1:40: set differently at DIR/b.jsonc:1:58; a later file replaces \
+        values only with `\"override\": true`"],
+})]
 #[case::one_address_for_two_services_is_found(Case {
     files: &[File { name: "a.jsonc", text: r#"{ "services": {
   "lookup": { "address": "192.0.2.1:443" },
