--- a/arbutus-lab/src/lib.rs
+++ b/arbutus-lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod backend;
+pub mod baseline;
 pub mod caller;
 pub mod clock;
 pub mod command;
@@ -15,5 +16,6 @@
 pub mod events;
 pub mod experiment;
 pub mod fabric;
+pub mod report;
 pub mod store;
 pub mod verdict;
