--- a/arbutusctl/src/connection.rs
+++ b/arbutusctl/src/connection.rs
@@ -42,7 +42,7 @@
             .or(defaults.prefix.map(|it| it.to_string()));
         let store = url.map(|url| StoreSettings::new(url.trim_end_matches('/')));
         let store = match prefix {
-            Some(prefix) => store.map(|store| store.prefix(&prefix)),
+            Some(prefix) => store.map(|store| store.prefix(&with_slash(prefix))),
             None => store,
         };
         let admin = if options.admin.is_empty() {
@@ -61,6 +61,14 @@
     }
 }
 
+/// The prefix as the daemons' settings have it.
+fn with_slash(mut prefix: String) -> String {
+    if !prefix.ends_with('/') {
+        prefix.push('/');
+    }
+    prefix
+}
+
 impl Defaults {
     fn load(folder: &Path) -> Result<Self, Report<SettingsError>> {
         let path = folder.join(DEFAULTS);
