--- a/arbutusctl/src/fleet/survey.rs
+++ b/arbutusctl/src/fleet/survey.rs
@@ -6,6 +6,7 @@
 use arbutus_io::admin::views::{ConfigView, RosterView};
 use error_stack::Report;
 use futures_util::{StreamExt, stream};
+use indexmap::IndexMap;
 
 use super::{AdminClient, Node, NodeVersion, Role};
 use crate::CtlError;
@@ -93,19 +94,24 @@
     mut progress: impl FnMut(usize, usize),
 ) -> Result<Vec<NodeVersion>, Report<CtlError>> {
     let clock = Instant::now();
-    let mut known: Vec<NodeVersion> = Vec::new();
+    let mut known = IndexMap::<SocketAddr, NodeVersion>::new();
     loop {
         let present = nodes(&roster(client, admin).await?);
-        known.retain(|it| it.has(version) && present.contains(&it.node));
-        let is_known = |node: &Node| known.iter().any(|it| it.node == *node);
-        let missing = present.into_iter().filter(|it| !is_known(it)).collect();
-        known.extend(versions(client, missing).await);
-        let in_force = known.iter().filter(|it| it.has(version)).count();
-        progress(in_force, known.len());
-        let settled = known.iter().all(|it| it.is_settled(version));
+        let (kept, asked): (Vec<_>, Vec<_>) = present.into_iter().partition(|node| {
+            let seen = known.get(&node.admin);
+            seen.is_some_and(|it| it.node == *node && it.has(version))
+        });
+        let kept = kept
+            .iter()
+            .filter_map(|node| known.get(&node.admin).cloned());
+        let round: Vec<_> = kept.chain(versions(client, asked).await).collect();
+        let in_force = round.iter().filter(|it| it.has(version)).count();
+        progress(in_force, round.len());
+        let settled = round.iter().all(|it| it.is_settled(version));
         if settled || clock.elapsed() >= wait {
-            return Ok(known);
+            return Ok(round);
         }
+        known = round.into_iter().map(|it| (it.node.admin, it)).collect();
         tokio::time::sleep(ROUND_PAUSE).await;
     }
 }
