feat: load reports carry the slots that peers may use, and sheds count as work

Cause: the daemons worked out a peer's room from its requests in hand, so that a backend server that fails or sheds at once looked idle to its peers.

--- a/arbutus-bench/benches/decisions.rs
+++ b/arbutus-bench/benches/decisions.rs
@@ -148,6 +148,7 @@
             sequence: 1,
             requests: 3,
             connections: 100,
+            free_slots: 2,
             weight_permille: 1_000,
         };
         admission.handle(Event::Report(report), now);
--- a/arbutus-core/src/flow/event.rs
+++ b/arbutus-core/src/flow/event.rs
@@ -17,6 +17,8 @@
         /// Requests that wait for a slot.
         queued: u32,
     },
+    /// How many more requests peers may pass on to this agent.
+    FreeSlots(u32),
     /// The backend server has shed a request. A backend server that sheds looks idle, so the
     /// request counts as one in hand for a while.
     Shed,
--- a/arbutus-core/src/flow/flow_admission.rs
+++ b/arbutus-core/src/flow/flow_admission.rs
@@ -49,6 +49,8 @@
     peers: PeerTable,
     running: u32,
     queued: u32,
+    /// As [`Event::FreeSlots`] told last.
+    free_slots: u32,
     sheds: RecentSheds,
     sequence: u32,
     schedule: ReportSchedule,
@@ -82,6 +84,7 @@
             peers: PeerTable::new(tunnel),
             running: 0,
             queued: 0,
+            free_slots: limits.slots,
             sheds: RecentSheds::default(),
             sequence: 0,
             schedule: ReportSchedule::new(),
@@ -115,6 +118,7 @@
             Event::Requested(flow) => self.flows.note_request(&flow),
             Event::Closed(flow) => self.close(&flow),
             Event::Requests { running, queued } => self.set_requests(running, queued),
+            Event::FreeSlots(free_slots) => self.set_free_slots(free_slots),
             Event::Shed => self.note_shed(now),
             Event::Report(report) => self.hear(report, now),
             Event::Peers(records) => self.list_peers(&records, now),
@@ -316,6 +320,13 @@
         }
     }
 
+    fn set_free_slots(&mut self, free_slots: u32) {
+        if self.free_slots != free_slots {
+            self.free_slots = free_slots;
+            self.schedule.note_change();
+        }
+    }
+
     fn note_shed(&mut self, now: Timestamp) {
         self.sheds.record(now);
         self.schedule.note_change();
@@ -393,6 +404,7 @@
             sequence: self.sequence,
             requests: load.requests,
             connections: load.connections,
+            free_slots: self.free_slots,
             weight_permille: load.weight_permille,
         }
     }
--- a/arbutus-core/src/flow/load_report.rs
+++ b/arbutus-core/src/flow/load_report.rs
@@ -20,6 +20,8 @@
     pub requests: u32,
     /// Open flows.
     pub connections: u32,
+    /// Requests that peers may pass on to it.
+    pub free_slots: u32,
     /// Its present share of new flows, in thousandths of an equal one; 0 where it takes none.
     pub weight_permille: u32,
 }
--- a/arbutus-core/tests/flow/report_bytes.rs
+++ b/arbutus-core/tests/flow/report_bytes.rs
@@ -21,6 +21,7 @@
         sequence in any::<u32>(),
         requests in any::<u32>(),
         connections in any::<u32>(),
+        free_slots in any::<u32>(),
         weight_permille in any::<u32>(),
         more in vec(any::<u8>(), 1..4),
     ) {
@@ -31,6 +32,7 @@
             sequence,
             requests,
             connections,
+            free_slots,
             weight_permille,
         };
         let mut buf = Vec::new();
--- a/arbutus-core/tests/flow/script.rs
+++ b/arbutus-core/tests/flow/script.rs
@@ -84,6 +84,7 @@
             running: positional(args)?,
             queued: positional(args)?,
         },
+        "free-slots" => Event::FreeSlots(positional(args)?),
         "shed" => Event::Shed,
         "drain" => Event::Drain,
         "resume" => Event::Resume,
--- a/arbutus-io/src/agent/peer_loads.rs
+++ b/arbutus-io/src/agent/peer_loads.rs
@@ -18,6 +18,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Heard {
     requests: u32,
+    free_slots: u32,
     takes_work: bool,
     at: Timestamp,
 }
@@ -32,6 +33,7 @@
     pub(super) fn hear(&mut self, report: &LoadReport, now: Timestamp) {
         let heard = Heard {
             requests: report.requests,
+            free_slots: report.free_slots,
             takes_work: report.weight_permille > 0,
             at: now,
         };
@@ -39,14 +41,13 @@
         self.heard.retain(|_, heard| now.since(heard.at) <= FRESH);
     }
 
-    /// The peers that take work, with their free slots out of `slots` each.
-    pub(super) fn rooms(&self, slots: u32, now: Timestamp) -> Vec<PeerRoom> {
+    /// The peers that take work, with the slots that they offer.
+    pub(super) fn rooms(&self, now: Timestamp) -> Vec<PeerRoom> {
         let room = |(tunnel, heard): (&SocketAddrV4, &Heard)| {
             let control = *self.peers.get(tunnel)?;
-            let free_slots = slots.saturating_sub(heard.requests);
             Some(PeerRoom {
                 control,
-                free_slots,
+                free_slots: heard.free_slots,
             })
         };
         self.fresh(now)
--- a/arbutus-io/src/agent/request_desk.rs
+++ b/arbutus-io/src/agent/request_desk.rs
@@ -89,22 +89,28 @@
 
     /// Feeds `event` to the decisions and hands their actions to the tasks.
     pub(super) fn handle(&self, event: Event) {
-        let (running, queued) = {
+        let (running, queued, free_slots) = {
             let mut state = self.state.lock();
             let actions = state.machine.handle(event, clock::now());
             for action in actions {
                 state.deliver(action);
             }
             let queued = u32::try_from(state.machine.queued()).unwrap_or(u32::MAX);
-            (state.machine.in_hand(), queued)
+            (state.machine.in_hand(), queued, state.machine.free_slots())
         };
         self.metrics
             .in_hand
             .set(i64::from(running) + i64::from(queued));
         self.flows.handle(flow::Event::Requests { running, queued });
+        self.flows.handle(flow::Event::FreeSlots(free_slots));
         self.changed.notify_one();
     }
 
+    /// Notes that the backend server has shed a request.
+    pub(super) fn note_shed(&self) {
+        self.flows.handle(flow::Event::Shed);
+    }
+
     /// Counts how a request ended.
     pub(super) fn count(&self, outcome: &'static str) {
         self.metrics
--- a/arbutus-io/src/agent/request_task.rs
+++ b/arbutus-io/src/agent/request_task.rs
@@ -1,6 +1,6 @@
 use std::{future::Future, net::SocketAddrV4, pin::pin, sync::Arc, time::Duration};
 
-use arbutus_core::request::{Action, Attempt, Event};
+use arbutus_core::request::{Action, Attempt, Event, Outcome};
 use bytes::Bytes;
 use http::{HeaderValue, Uri, header, request};
 use http_body_util::Full;
@@ -182,7 +182,11 @@
             }
             UpstreamStep::Head(parts, body) => {
                 let head = headers::upstream_head(&parts);
+                let is_shed = body.is_from_backend() && head.outcome == Some(Outcome::NotRun);
                 upstream.responded(parts, body);
+                if is_shed {
+                    self.services.desk.note_shed();
+                }
                 self.tell(Event::UpstreamHead { attempt, head });
             }
             UpstreamStep::Failed(failed) => {
--- a/arbutus-io/src/agent/server.rs
+++ b/arbutus-io/src/agent/server.rs
@@ -35,7 +35,6 @@
     stopping: watch::Sender<bool>,
     endpoint: quinn::Endpoint,
     name: Arc<str>,
-    slots: u32,
     /// Ended when the server is dropped.
     tasks: Vec<JoinHandle<()>>,
 }
@@ -99,7 +98,6 @@
             stopping,
             endpoint: quic,
             name: settings.name.clone(),
-            slots: RequestPolicy::new().slots,
             tasks,
         })
     }
@@ -108,7 +106,6 @@
     /// `weight_percent`.
     pub(super) fn set_service(&mut self, service: &Service, weight_percent: u32) {
         let limits = FlowLimits::of_service(service, &self.name, weight_percent);
-        self.slots = service.requests.slots;
         self.flows.handle(flow::Event::Limits(limits));
         self.requests.handle(request::Event::PolicyChanged {
             policy: service.requests.clone(),
@@ -125,7 +122,7 @@
     /// Takes in a peer's load report.
     pub(super) fn hear_report(&mut self, report: LoadReport) {
         self.loads.hear(&report, clock::now());
-        let peers = self.loads.rooms(self.slots, clock::now());
+        let peers = self.loads.rooms(clock::now());
         self.flows.handle(flow::Event::Report(report));
         self.requests.handle(request::Event::PeersChanged { peers });
         let own = self.metrics.in_hand.get();
--- a/arbutus-io/src/agent/upstream.rs
+++ b/arbutus-io/src/agent/upstream.rs
@@ -160,6 +160,11 @@
 }
 
 impl UpstreamBody {
+    /// Whether the response is the backend server's own.
+    pub(super) const fn is_from_backend(&self) -> bool {
+        matches!(self, Self::Backend(..))
+    }
+
     /// The next piece; `None` at the clean end.
     ///
     /// # Errors
--- a/arbutus-io/src/daemon/launch.rs
+++ b/arbutus-io/src/daemon/launch.rs
@@ -71,7 +71,7 @@
 }
 
 fn settings_failed(report: &Report<SettingsError>) -> ExitCode {
-    eprintln!("{report:?}");
+    eprintln!("{}", arbutus_settings::describe(report));
     ExitCode::from(EXIT_USAGE)
 }
 
