--- a/arbutus-bench/src/membership.rs
+++ b/arbutus-bench/src/membership.rs
@@ -1,5 +1,6 @@
 //! The control plane: many real machines in one process, with a small in-memory delivery.
 
+mod conditions;
 mod fleet;
 mod fleet_plan;
 mod full_size;
--- a/arbutus-bench/src/membership/measure.rs
+++ b/arbutus-bench/src/membership/measure.rs
@@ -2,22 +2,21 @@
 
 use std::time::{Duration, Instant};
 
-use arbutus_core::{config::ConfigVersion, ident::ServiceTag, time::Timestamp};
 use rand::Rng;
 
 use super::{
+    conditions::{
+        agents_have_config, all_are_candidates, has_config, is_converged, is_nowhere_candidate,
+        wait, wait_seconds,
+    },
     fleet::{Fleet, Machine},
-    fleet_plan::{self, DOMAINS},
+    fleet_plan::DOMAINS,
     full_size,
     meter::Meter,
     options::{Options, Part},
     report::Findings,
 };
 
-/// Step in which waiting for something looks again.
-const STEP: Duration = Duration::from_millis(20);
-/// Longest wait for anything.
-const LIMIT: Duration = Duration::from_secs(120);
 const STEADY_S: u64 = 20;
 
 pub(super) fn run(options: &Options) -> Findings {
@@ -298,72 +297,3 @@
         .filter(|(_, member)| !matches!(member.machine, Machine::Dead))
         .map(|(number, _)| number)
 }
-
-/// Whether all balancers hold the same records.
-fn is_converged(fleet: &Fleet) -> bool {
-    let mut roots = fleet.balancers().map(|(_, it)| it.roster().root());
-    let first = roots.next();
-    let is_same = roots.all(|root| Some(root) == first);
-    let agents = fleet.agents().count();
-    let holds_all = |(_, it): (usize, &arbutus_core::membership::BalancerNode)| {
-        it.roster().agent_count() >= agents
-    };
-    is_same && fleet.balancers().all(holds_all)
-}
-
-fn has_config(fleet: &Fleet) -> bool {
-    let version: ConfigVersion = fleet.store.snapshot.version;
-    fleet
-        .balancers()
-        .all(|(_, it)| it.config().version == version)
-}
-
-fn agents_have_config(fleet: &Fleet) -> bool {
-    let version = fleet.store.snapshot.version;
-    fleet.agents().all(|(_, it)| it.config_version() == version)
-}
-
-fn is_nowhere_candidate(fleet: &Fleet, victim: usize) -> bool {
-    let tag = tag_of(fleet, victim);
-    let control = fleet_plan::control(victim);
-    fleet.balancers().all(|(_, it)| {
-        it.roster()
-            .candidates(tag)
-            .all(|agent| agent.control != control)
-    })
-}
-
-/// Whether each balancer has as many candidates as there are agents.
-fn all_are_candidates(fleet: &Fleet) -> bool {
-    let agents = fleet.agents().count();
-    fleet.balancers().all(|(_, balancer)| {
-        let tags = (0..fleet.services).map(|it| ServiceTag::of_name(&fleet_plan::service_name(it)));
-        let candidates: usize = tags
-            .map(|tag| balancer.roster().candidates(tag).count())
-            .sum();
-        candidates == agents
-    })
-}
-
-fn tag_of(fleet: &Fleet, agent: usize) -> ServiceTag {
-    ServiceTag::of_name(&fleet_plan::service_name(fleet.members[agent].service))
-}
-
-/// Runs until `done`; tells how long it took.
-fn wait(fleet: &mut Fleet, done: impl Fn(&Fleet) -> bool) -> Duration {
-    let begin: Timestamp = fleet.now;
-    while !done(fleet) && fleet.now.since(begin) < LIMIT {
-        fleet.run(STEP);
-    }
-    fleet.now.since(begin)
-}
-
-/// Runs until `done`, second by second with the meter; tells the seconds.
-fn wait_seconds(fleet: &mut Fleet, meter: &mut Meter, done: impl Fn(&Fleet) -> bool) -> u64 {
-    let mut seconds = 0;
-    while !done(fleet) && seconds < LIMIT.as_secs() {
-        meter.run_second(fleet);
-        seconds += 1;
-    }
-    seconds
-}
