--- a/arbutusctl/src/fleet/admin_client.rs
+++ b/arbutusctl/src/fleet/admin_client.rs
@@ -27,7 +27,10 @@
     /// Makes a client.
     pub(crate) fn new() -> Self {
         Self {
-            http: Client::builder(TokioExecutor::new()).build_http(),
+            // A fleet has more nodes than a process may have open connections.
+            http: Client::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(0)
+                .build_http(),
         }
     }
 
