--- a/arbutus-core/src/flow/flow_admission.rs
+++ b/arbutus-core/src/flow/flow_admission.rs
@@ -198,6 +198,7 @@
         let came_round = passed.is_some_and(|passed| header.hops > passed.hops);
         if let Some(passed) = passed
             && !came_round
+            && header.hops < self.policy.max_hops
             && !self.peers.is_lost(passed.to, &self.policy, now)
         {
             self.counts.repeated += 1;
