--- a/arbutus-bench/src/data_path/bare_relay.rs
+++ b/arbutus-bench/src/data_path/bare_relay.rs
@@ -10,9 +10,7 @@
 };
 
 use arbutus_core::tunnel;
-use arbutus_io::udp::{self, BatchReceiver, BatchSender};
-use quinn_udp::UdpSocketState;
-use tokio::{io::Interest, net::UdpSocket};
+use arbutus_io::udp::{self, BatchReceiver, BatchSender, Port};
 
 /// How often the relay looks whether it is to end.
 const STOP_POLL: Duration = Duration::from_millis(50);
@@ -58,11 +56,9 @@
         .enable_all()
         .build()?;
     runtime.block_on(async move {
-        let listen = UdpSocket::from_std(listen)?;
-        let out = UdpSocket::from_std(out)?;
-        let listen_state = UdpSocketState::new((&listen).into())?;
-        let out_state = UdpSocketState::new((&out).into())?;
-        let mut receiver = BatchReceiver::new(&listen_state);
+        let listen = Port::new(listen)?;
+        let out = Port::new(out)?;
+        let mut receiver = BatchReceiver::new(&listen);
         let mut sender = BatchSender::new();
         let mut turn = 0;
         while !stop.load(Ordering::Relaxed) {
@@ -70,22 +66,20 @@
             if ready.is_err() {
                 continue;
             }
-            let receive = || {
-                receiver.receive(&listen, &listen_state, |_, datagram| {
-                    let Ok((_, payload)) = tunnel::decode_fabric(datagram) else {
-                        return;
-                    };
-                    let to = agents[turn % agents.len()];
-                    turn += 1;
-                    let write = |buf: &mut Vec<u8>| {
-                        buf.extend_from_slice(payload);
-                        Ok::<(), ()>(())
-                    };
-                    let _ = sender.add(&out, &out_state, to, write);
-                })
-            };
-            let count = listen.try_io(Interest::READABLE, receive).unwrap_or(0);
-            sender.flush(&out, &out_state);
+            let result = receiver.receive(&listen, |_, datagram| {
+                let Ok((_, payload)) = tunnel::decode_fabric(datagram) else {
+                    return;
+                };
+                let to = agents[turn % agents.len()];
+                turn += 1;
+                let write = |buf: &mut Vec<u8>| {
+                    buf.extend_from_slice(payload);
+                    Ok::<(), ()>(())
+                };
+                let _ = sender.add(&out, to, write);
+            });
+            let count = result.unwrap_or(0);
+            sender.flush(&out);
             sent.fetch_add(count as u64, Ordering::Relaxed);
         }
         Ok(())
--- a/arbutus-io/src/agent/tunnel_socket.rs
+++ b/arbutus-io/src/agent/tunnel_socket.rs
@@ -15,8 +15,7 @@
 };
 use parking_lot::Mutex;
 use quinn::{AsyncUdpSocket, UdpPoller};
-use quinn_udp::{RecvMeta, Transmit, UdpSocketState};
-use tokio::{io::Interest, net::UdpSocket};
+use quinn_udp::{RecvMeta, Transmit};
 
 use super::{
     cid_generator::CidGenerator,
@@ -26,7 +25,7 @@
 use crate::{
     clock,
     metrics::{AgentMetrics, ReasonLabel},
-    udp::{self, BatchReceiver, WritablePoller},
+    udp::{self, BatchReceiver, Port, WritablePoller},
 };
 
 /// The UDP socket that the agent's QUIC endpoint sees: callers' datagrams, out of the tunnel.
@@ -34,8 +33,7 @@
 /// Lock order: `receiver`, then the flow desk's, then `path`.
 #[derive(Debug)]
 pub(super) struct TunnelSocket {
-    io: Arc<UdpSocket>,
-    state: UdpSocketState,
+    port: Port,
     owner: FlowOwner,
     keys: KeyRing,
     desk: Arc<FlowDesk>,
@@ -77,15 +75,13 @@
         desk: Arc<FlowDesk>,
         metrics: Arc<AgentMetrics>,
     ) -> io::Result<Self> {
-        let socket = udp::bind(owner.agent)?;
-        let state = UdpSocketState::new((&socket).into())?;
+        let port = Port::new(udp::bind(owner.agent)?)?;
         let receiver = Receiver {
-            batch: BatchReceiver::new(&state),
+            batch: BatchReceiver::new(&port),
             ready: VecDeque::new(),
         };
         Ok(Self {
-            io: Arc::new(UdpSocket::from_std(socket)?),
-            state,
+            port,
             owner,
             keys,
             desk,
@@ -108,14 +104,11 @@
     /// Receives one batch and sorts it.
     fn receive(&self, receiver: &mut Receiver) -> io::Result<()> {
         let Receiver { batch, ready } = receiver;
-        let receive = || {
-            batch.receive(&self.io, &self.state, |from, datagram| {
-                if let Some(delivery) = self.take(from, datagram) {
-                    ready.push_back(delivery);
-                }
-            })
-        };
-        self.io.try_io(Interest::READABLE, receive)?;
+        batch.receive(&self.port, |from, datagram| {
+            if let Some(delivery) = self.take(from, datagram) {
+                ready.push_back(delivery);
+            }
+        })?;
         Ok(())
     }
 
@@ -172,7 +165,7 @@
             self.count_drop("oversized");
             return;
         }
-        if let Err(err) = self.io.try_send_to(&buf, SocketAddr::V4(to)) {
+        if let Err(err) = self.port.io().try_send_to(&buf, SocketAddr::V4(to)) {
             tracing::debug!(%err, %to, "pass_on_failed");
         }
     }
@@ -187,7 +180,7 @@
 
 impl AsyncUdpSocket for TunnelSocket {
     fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
-        Box::pin(WritablePoller::new(self.io.clone()))
+        Box::pin(WritablePoller::new(self.port.io().clone()))
     }
 
     fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
@@ -227,9 +220,7 @@
             segment_size: transmit.segment_size.map(|_| tunnel_bytes),
             src_ip: None,
         };
-        self.io.try_io(Interest::WRITABLE, || {
-            self.state.send((&*self.io).into(), &tunnelled)
-        })
+        self.port.try_send(&tunnelled)
     }
 
     fn poll_recv(
@@ -240,7 +231,7 @@
     ) -> Poll<io::Result<usize>> {
         let mut receiver = self.receiver.lock();
         while receiver.ready.is_empty() {
-            ready!(self.io.poll_recv_ready(cx))?;
+            ready!(self.port.io().poll_recv_ready(cx))?;
             match self.receive(&mut receiver) {
                 Err(err) if err.kind() != io::ErrorKind::WouldBlock => {
                     return Poll::Ready(Err(err));
@@ -265,15 +256,15 @@
     }
 
     fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.io.local_addr()
+        self.port.local_addr()
     }
 
     fn max_transmit_segments(&self) -> usize {
-        self.state.max_gso_segments()
+        self.port.state().max_gso_segments()
     }
 
     fn may_fragment(&self) -> bool {
-        self.state.may_fragment()
+        self.port.state().may_fragment()
     }
 }
 
--- a/arbutus-io/src/balancer/inbound.rs
+++ b/arbutus-io/src/balancer/inbound.rs
@@ -6,23 +6,19 @@
     tunnel::{self, TunnelError},
 };
 use prometheus_client::metrics::counter::Counter;
-use quinn_udp::UdpSocketState;
-use tokio::{io::Interest, net::UdpSocket};
 
 use super::DataPath;
 use crate::{
     metrics::ReasonLabel,
     trace::TRACE_TARGET,
-    udp::{BatchReceiver, BatchSender},
+    udp::{BatchReceiver, BatchSender, Port},
 };
 
 /// One worker's way from the fabric to the agents.
 pub(super) struct Inbound {
     shared: Arc<DataPath>,
-    fabric: Arc<UdpSocket>,
-    fabric_state: UdpSocketState,
-    tunnel: Arc<UdpSocket>,
-    tunnel_state: UdpSocketState,
+    fabric: Port,
+    tunnel: Port,
     receiver: BatchReceiver,
     sender: BatchSender,
     /// At the index of each drop reason.
@@ -30,17 +26,8 @@
 }
 
 impl Inbound {
-    /// Makes the way over the two sockets.
-    ///
-    /// # Errors
-    ///
-    /// Fails where a socket's options cannot be set.
-    pub(super) fn new(
-        shared: Arc<DataPath>,
-        fabric: Arc<UdpSocket>,
-        tunnel: Arc<UdpSocket>,
-    ) -> io::Result<Self> {
-        let fabric_state = UdpSocketState::new((&*fabric).into())?;
+    /// Makes the way from `fabric` to `tunnel`.
+    pub(super) fn new(shared: Arc<DataPath>, fabric: Port, tunnel: Port) -> Self {
         let drops = DropReason::ALL
             .iter()
             .map(|reason| {
@@ -49,16 +36,14 @@
                 shared.metrics.dropped.get_or_create(&label).clone()
             })
             .collect();
-        Ok(Self {
-            receiver: BatchReceiver::new(&fabric_state),
-            tunnel_state: UdpSocketState::new((&*tunnel).into())?,
+        Self {
+            receiver: BatchReceiver::new(&fabric),
             sender: BatchSender::new(),
             shared,
             fabric,
-            fabric_state,
             tunnel,
             drops,
-        })
+        }
     }
 
     /// Forwards until the process ends.
@@ -77,26 +62,21 @@
         let Self {
             shared,
             fabric,
-            fabric_state,
             tunnel,
-            tunnel_state,
             receiver,
             sender,
             drops,
         } = self;
         let table = shared.table.load();
-        let receive = || {
-            receiver.receive(fabric, fabric_state, |from, datagram| {
-                let add = |hop: &Hop, payload: &[u8]| {
-                    let write =
-                        |buf: &mut Vec<u8>| tunnel::encode(&hop.header, payload, &shared.keys, buf);
-                    sender.add(tunnel, tunnel_state, hop.to, write)
-                };
-                forward_one(shared, &table, drops, from, datagram, add);
-            })
-        };
-        let result = fabric.try_io(Interest::READABLE, receive);
-        sender.flush(tunnel, tunnel_state);
+        let result = receiver.receive(fabric, |from, datagram| {
+            let add = |hop: &Hop, payload: &[u8]| {
+                let write =
+                    |buf: &mut Vec<u8>| tunnel::encode(&hop.header, payload, &shared.keys, buf);
+                sender.add(tunnel, hop.to, write)
+            };
+            forward_one(shared, &table, drops, from, datagram, add);
+        });
+        sender.flush(tunnel);
         result.map(|_| ())
     }
 }
--- a/arbutus-io/src/balancer/workers.rs
+++ b/arbutus-io/src/balancer/workers.rs
@@ -1,10 +1,8 @@
 use std::{io, net::SocketAddrV4, sync::Arc, thread};
 
-use error_stack::{Report, ResultExt};
-use tokio::net::UdpSocket;
-
 use super::{BalancerError, DataPath, inbound::Inbound, outbound::Outbound};
-use crate::udp;
+use crate::udp::{self, Port};
+use error_stack::{Report, ResultExt};
 
 /// Starts `count` workers of the data path, each a thread with sockets of its own.
 ///
@@ -44,10 +42,10 @@
         .enable_io()
         .build()?;
     runtime.block_on(async move {
-        let fabric = Arc::new(UdpSocket::from_std(fabric)?);
-        let tunnel = Arc::new(UdpSocket::from_std(tunnel)?);
-        let inbound = Inbound::new(shared.clone(), fabric.clone(), tunnel.clone())?;
-        let outbound = Outbound::new(shared, fabric, tunnel)?;
+        let fabric = Port::new(fabric)?;
+        let tunnel = Port::new(tunnel)?;
+        let inbound = Inbound::new(shared.clone(), fabric.clone(), tunnel.clone());
+        let outbound = Outbound::new(shared, fabric, tunnel);
         tokio::try_join!(inbound.run(), outbound.run())?;
         Ok(())
     })
--- a/arbutus-io/src/udp/batch_receiver.rs
+++ b/arbutus-io/src/udp/batch_receiver.rs
@@ -3,7 +3,9 @@
     net::{SocketAddr, SocketAddrV4},
 };
 
-use quinn_udp::{BATCH_SIZE, RecvMeta, UdpSocketState};
+use quinn_udp::{BATCH_SIZE, RecvMeta};
+
+use super::Port;
 
 /// Room for one datagram, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
@@ -19,10 +21,10 @@
 }
 
 impl BatchReceiver {
-    /// Makes a receiver for the socket that `state` describes.
+    /// Makes a receiver for `port`.
     #[must_use]
-    pub fn new(state: &UdpSocketState) -> Self {
-        let slot_bytes = (DATAGRAM_BYTES * state.gro_segments()).min(MAX_GRO_BYTES);
+    pub fn new(port: &Port) -> Self {
+        let slot_bytes = (DATAGRAM_BYTES * port.state().gro_segments()).min(MAX_GRO_BYTES);
         Self {
             buf: vec![0; slot_bytes * BATCH_SIZE],
             slot_bytes,
@@ -39,8 +41,7 @@
     /// Fails as the socket does, [`io::ErrorKind::WouldBlock`] included.
     pub fn receive(
         &mut self,
-        socket: &tokio::net::UdpSocket,
-        state: &UdpSocketState,
+        port: &Port,
         mut handle: impl FnMut(SocketAddrV4, &[u8]),
     ) -> io::Result<usize> {
         let mut slices: Vec<IoSliceMut<'_>> = self
@@ -48,7 +49,12 @@
             .chunks_exact_mut(self.slot_bytes)
             .map(IoSliceMut::new)
             .collect();
-        let count = state.recv(socket.into(), &mut slices, &mut self.metas)?;
+        let metas = &mut self.metas;
+        let receive = || {
+            let socket = (&**port.io()).into();
+            port.state().recv(socket, &mut slices, metas)
+        };
+        let count = port.try_receive(receive)?;
         let mut datagrams = 0;
         for (slot, meta) in slices.iter().zip(&self.metas).take(count) {
             let SocketAddr::V4(from) = meta.addr else {
--- a/arbutus-io/src/udp/batch_sender.rs
+++ b/arbutus-io/src/udp/batch_sender.rs
@@ -4,7 +4,9 @@
 };
 
 use indexmap::IndexMap;
-use quinn_udp::{Transmit, UdpSocketState};
+use quinn_udp::Transmit;
+
+use super::Port;
 
 /// Most bytes in one segmented send.
 const MAX_SEND_BYTES: usize = 60_000;
@@ -46,8 +48,7 @@
     /// Fails where `write` does, leaving what was collected as it was.
     pub fn add<E>(
         &mut self,
-        socket: &tokio::net::UdpSocket,
-        state: &UdpSocketState,
+        port: &Port,
         to: SocketAddrV4,
         write: impl FnOnce(&mut Vec<u8>) -> Result<(), E>,
     ) -> Result<(), E> {
@@ -58,11 +59,12 @@
             return Err(err);
         }
         let bytes = pending.buf.len() - start;
-        let full = pending.segments >= state.max_gso_segments() || start + bytes > MAX_SEND_BYTES;
+        let full =
+            pending.segments >= port.state().max_gso_segments() || start + bytes > MAX_SEND_BYTES;
         let fits = !pending.closed && bytes <= pending.segment_bytes && !full;
         if pending.segments > 0 && !fits {
             let last = pending.buf.split_off(start);
-            pending.send(socket, state, to);
+            pending.send(port, to);
             pending.buf.extend_from_slice(&last);
         }
         pending.count(bytes);
@@ -70,9 +72,9 @@
     }
 
     /// Sends everything that was collected.
-    pub fn flush(&mut self, socket: &tokio::net::UdpSocket, state: &UdpSocketState) {
+    pub fn flush(&mut self, port: &Port) {
         for (to, pending) in &mut self.pending {
-            pending.send(socket, state, *to);
+            pending.send(port, *to);
         }
         if self.pending.len() > MAX_IDLE_DESTINATIONS {
             self.pending.clear();
@@ -90,7 +92,7 @@
         self.segments += 1;
     }
 
-    fn send(&mut self, socket: &tokio::net::UdpSocket, state: &UdpSocketState, to: SocketAddrV4) {
+    fn send(&mut self, port: &Port, to: SocketAddrV4) {
         if self.segments > 0 {
             let transmit = Transmit {
                 destination: SocketAddr::V4(to),
@@ -99,7 +101,7 @@
                 segment_size: (self.segments > 1).then_some(self.segment_bytes),
                 src_ip: None,
             };
-            if let Err(err) = state.try_send(socket.into(), &transmit) {
+            if let Err(err) = port.state().try_send((&**port.io()).into(), &transmit) {
                 log_lost(&err, to, self.segments);
             }
         }
