--- a/arbutus-bench/src/lib.rs
+++ b/arbutus-bench/src/lib.rs
@@ -1,5 +1,8 @@
 //! Measurements of arbutusstage, each a subcommand of `arbutus-bench`.
 
 pub mod bench_error;
+pub mod configuration;
 pub mod data_path;
+pub mod membership;
 pub mod policy;
+pub mod requests;
--- a/arbutus-core/src/membership/balancer_node/links.rs
+++ b/arbutus-core/src/membership/balancer_node/links.rs
@@ -7,15 +7,11 @@
 use super::BalancerNode;
 use crate::{
     membership::{Keepalive, LinkIntent, Message, link::Link},
-    roster::{AgentState, BalancerRecord, MemberKey, Update},
+    roster::{BalancerRecord, Update},
     time::Timestamp,
 };
 
 impl BalancerNode {
-    /// Configured peers that are greeted at once.
-    const GREETINGS: usize = 3;
-    /// Time between greetings of a balancer without links.
-    const LONELY_RECONNECT: Duration = Duration::from_secs(1);
     /// Tries to find a balancer to link to in a round.
     const OPEN_TRIES: usize = 4;
 
@@ -29,6 +25,7 @@
         if keepalive.record.control != from {
             return;
         }
+        self.overlay.greeted.swap_remove(&from);
         self.merge_peer(keepalive.record.clone(), now);
         if let Some(rank) = keepalive.about_you {
             self.refute(rank, now);
@@ -118,7 +115,7 @@
         for link in self.overlay.links.values_mut() {
             let silence = now.since(link.last_heard);
             if silence >= suspect_after {
-                lost.push((link.control, link.failure_domain.clone()));
+                lost.push(link.control);
             } else if silence >= suspect_after / 2
                 && now.since(link.last_greeting) >= suspect_after / 6
             {
@@ -129,12 +126,9 @@
         for control in quiet {
             self.send_keepalive(control, LinkIntent::Greet);
         }
-        for (control, domain) in lost {
+        for control in lost {
             self.overlay.links.shift_remove(&control);
-            if !self.roster.is_silent(&domain) {
-                self.suspected.insert(domain, now);
-                self.suspect(&MemberKey::Balancer(control), now);
-            }
+            self.suspect_balancer(control, now);
         }
     }
 
@@ -218,66 +212,6 @@
         }
     }
 
-    /// Greets balancers that were lost or never linked to, to find each other again after a
-    /// partition.
-    pub(super) fn reconnect(&mut self, now: Timestamp) {
-        if now < self.next_reconnect {
-            return;
-        }
-        let is_lonely = self.overlay.links.is_empty();
-        let pause = if is_lonely {
-            Self::LONELY_RECONNECT
-        } else {
-            self.settings.reconnect
-        };
-        let factor = self.rng.random_range(0.75..1.25);
-        self.next_reconnect = now + pause.mul_f64(factor);
-        if is_lonely {
-            self.greet_peers();
-        } else {
-            self.greet_lost();
-        }
-    }
-
-    fn greet_peers(&mut self) {
-        let mut peers = self.peers.clone();
-        for _ in 0..Self::GREETINGS.min(peers.len()) {
-            let index = self.rng.random_range(0..peers.len());
-            let peer = peers.swap_remove(index);
-            self.greet(peer);
-        }
-    }
-
-    fn greet_lost(&mut self) {
-        let count = self.roster.balancers().count();
-        let start = self.rng.random_range(0..count.max(1));
-        let is_lost = |it: &&BalancerRecord| {
-            it.state == AgentState::Suspect || self.roster.is_silent(&it.failure_domain)
-        };
-        let later = self.roster.balancers().skip(start);
-        let lost = later
-            .chain(self.roster.balancers().take(start))
-            .find(is_lost)
-            .map(|it| it.control);
-        let other = self.roster.balancers().nth(start).map(|it| it.control);
-        let unknown = self
-            .peers
-            .iter()
-            .find(|peer| self.roster.balancer(**peer).is_none())
-            .copied();
-        let wanted = [lost, unknown, other.filter(|_| lost.is_none())];
-        for control in wanted.into_iter().flatten() {
-            self.greet(control);
-        }
-    }
-
-    fn greet(&mut self, control: SocketAddrV4) {
-        let is_linked = self.overlay.links.contains_key(&control);
-        if control != self.record.control && !is_linked {
-            self.send_keepalive(control, LinkIntent::Greet);
-        }
-    }
-
     pub(super) fn send_keepalives(&mut self, now: Timestamp) {
         let due: Vec<SocketAddrV4> = self
             .overlay
--- a/arbutus-core/tests/membership.rs
+++ b/arbutus-core/tests/membership.rs
@@ -1,9 +1,13 @@
 //! The control machines under scripted and random failures.
 
+#[path = "membership/config_book.rs"]
+mod config_book;
 #[path = "membership/network.rs"]
 mod network;
 #[path = "membership/random_runs.rs"]
 mod random_runs;
+#[path = "membership/roster_merge.rs"]
+mod roster_merge;
 #[path = "membership/script.rs"]
 mod script;
 #[path = "membership/store.rs"]
--- a/arbutus-core/tests/membership/world.rs
+++ b/arbutus-core/tests/membership/world.rs
@@ -70,12 +70,18 @@
     next_check: Timestamp,
     /// When the network was last disturbed, or a balancer last stopped.
     disturbed_at: Timestamp,
+    /// How far the clocks of new nodes lag, in milliseconds.
+    pub clock_lag_ms: u64,
+    /// How many balancers the settings of a new node name.
+    pub named_balancers: usize,
     /// Promises that were broken.
     pub broken: BTreeSet<String>,
     rng: ChaCha8Rng,
 }
 
 impl World {
+    /// Messages that wait for a paused machine; further ones are lost.
+    const INBOX: usize = 4;
     const CHECK_INTERVAL: Duration = Duration::from_millis(100);
     /// Time within which a dead agent is nowhere a candidate, on a calm network.
     const DEAD_LIMIT: Duration = Duration::from_secs(3);
@@ -91,6 +97,8 @@
             sent: 0,
             next_check: Timestamp::ZERO,
             disturbed_at: Timestamp::ZERO,
+            clock_lag_ms: 0,
+            named_balancers: 3,
             broken: BTreeSet::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -99,7 +107,7 @@
     /// Starts a balancer that knows the first few others by its settings.
     pub fn start_balancer(&mut self, name: &str, domain: &str) {
         let (control, tunnel) = self.addresses(name);
-        let peers = self.balancer_controls(3, control);
+        let peers = self.balancer_controls(self.named_balancers, control);
         let identity = BalancerIdentity {
             name: Arc::from(name),
             failure_domain: Arc::from(domain),
@@ -126,7 +134,7 @@
             control,
             admin_port: 7_002,
             incarnation: self.incarnation(),
-            balancers: self.balancer_controls(3, control),
+            balancers: self.balancer_controls(self.named_balancers, control),
         };
         let seed = self.rng.random();
         let node = AgentNode::new(Settings::new(), &identity, seed, self.now);
@@ -287,8 +295,10 @@
         let node = self.nodes.get_mut(&name).expect("owners are nodes");
         match node.life {
             Life::Runs => self.receive(&name, delivery.from, delivery.payload),
-            Life::Paused => node.inbox.push((delivery.from, delivery.payload)),
-            Life::Dead => {}
+            Life::Paused if node.inbox.len() < Self::INBOX => {
+                node.inbox.push((delivery.from, delivery.payload));
+            }
+            Life::Paused | Life::Dead => {}
         }
     }
 
@@ -441,7 +451,7 @@
     }
 
     fn incarnation(&self) -> Incarnation {
-        Incarnation::new(self.now.as_millis())
+        Incarnation::new(self.now.as_millis().saturating_sub(self.clock_lag_ms))
     }
 
     fn balancer_controls(&self, count: usize, but: SocketAddrV4) -> Vec<SocketAddrV4> {
--- a/arbutus-io/src/agent/server.rs
+++ b/arbutus-io/src/agent/server.rs
@@ -2,7 +2,7 @@
 
 use arbutus_core::{
     cid::FlowOwner,
-    config::{Balance, DesiredState, RequestPolicy, Service},
+    config::{Balance, RequestPolicy, Service},
     flow::{self, FlowAdmission, FlowLimits, FlowPolicy, LoadReport},
     ident::{Incarnation, ServiceTag},
     request::{self, AgentIdentity, Origin, RequestMachine},
@@ -35,7 +35,6 @@
     stopping: watch::Sender<bool>,
     endpoint: quinn::Endpoint,
     name: Arc<str>,
-    slots: u32,
     /// Ended when the server is dropped.
     tasks: Vec<JoinHandle<()>>,
 }
@@ -99,7 +98,6 @@
             stopping,
             endpoint: quic,
             name: settings.name.clone(),
-            slots: RequestPolicy::new().slots,
             tasks,
         })
     }
@@ -108,14 +106,11 @@
     /// `weight_percent`.
     pub(super) fn set_service(&mut self, service: &Service, weight_percent: u32) {
         let limits = FlowLimits::of_service(service, &self.name, weight_percent);
-        self.slots = service.requests.slots;
         self.flows.handle(flow::Event::Limits(limits));
         self.requests.handle(request::Event::PolicyChanged {
             policy: service.requests.clone(),
             balance: service.balance,
         });
-        let wanted = service.backend_server(&self.name).state;
-        self.set_leaving(wanted == DesiredState::Leave);
     }
 
     /// Takes in the agents of the service.
@@ -127,7 +122,7 @@
     /// Takes in a peer's load report.
     pub(super) fn hear_report(&mut self, report: LoadReport) {
         self.loads.hear(&report, clock::now());
-        let peers = self.loads.rooms(self.slots, clock::now());
+        let peers = self.loads.rooms(clock::now());
         self.flows.handle(flow::Event::Report(report));
         self.requests.handle(request::Event::PeersChanged { peers });
         let own = self.metrics.in_hand.get();
@@ -135,8 +130,12 @@
         self.metrics.imbalance_thousandths.set(imbalance);
     }
 
-    /// Stops or resumes taking new flows.
+    /// Stops or resumes taking new work.
+    ///
+    /// Open connections are told to go by GOAWAY, so that their callers take the next request
+    /// elsewhere; what has come is still served.
     pub(super) fn set_draining(&self, draining: bool) {
+        self.set_goaway(draining);
         let event = if draining {
             flow::Event::Drain
         } else {
@@ -160,10 +159,10 @@
     }
 
     /// Tells the peers of all connections to go, or no longer tells new ones so.
-    pub(super) fn set_leaving(&self, leaving: bool) {
+    fn set_goaway(&self, goaway: bool) {
         self.stopping.send_if_modified(|stopping| {
-            let changed = *stopping != leaving;
-            *stopping = leaving;
+            let changed = *stopping != goaway;
+            *stopping = goaway;
             changed
         });
     }
@@ -176,7 +175,7 @@
     /// Begins a stop and gives a future that ends when nothing is left in hand, or `grace` later.
     pub(super) fn stop(&self, grace: Duration) -> impl Future<Output = ()> + Send + 'static {
         self.flows.handle(flow::Event::Stop);
-        self.set_leaving(true);
+        self.set_goaway(true);
         let flows = self.flows.clone();
         let requests = self.requests.clone();
         async move {
--- a/arbutusctl/src/fleet/survey.rs
+++ b/arbutusctl/src/fleet/survey.rs
@@ -6,6 +6,7 @@
 use arbutus_io::admin::views::{ConfigView, RosterView};
 use error_stack::Report;
 use futures_util::{StreamExt, stream};
+use indexmap::IndexMap;
 
 use super::{AdminClient, Node, NodeVersion, Role};
 use crate::CtlError;
@@ -31,7 +32,7 @@
     Err(failure)
 }
 
-/// The nodes of a roster, without those that have gone.
+/// The nodes of a roster by their roles and names, without those that have gone.
 pub(crate) fn nodes(roster: &RosterView) -> Vec<Node> {
     let balancers = roster.balancers.iter().map(|it| Node {
         name: it.name.clone(),
@@ -48,7 +49,9 @@
         state: it.state.clone(),
     });
     let present = balancers.chain(agents).filter(|it| &*it.state != "gone");
-    present.collect()
+    let mut present: Vec<_> = present.collect();
+    present.sort_by(|left, right| (left.role, &left.name).cmp(&(right.role, &right.name)));
+    present
 }
 
 /// Asks each of `nodes` for the version it has in force.
@@ -64,11 +67,25 @@
         .await
 }
 
+/// The highest version that the nodes at `admin` have in force; 0 where none answers.
+pub(crate) async fn highest_version(client: &AdminClient, admin: &[SocketAddr]) -> u64 {
+    let ask = |address: &SocketAddr| {
+        let address = *address;
+        async move { client.get::<ConfigView>(address, "/config").await }
+    };
+    let views: Vec<_> = stream::iter(admin.iter().map(ask))
+        .buffered(PARALLEL_ASKS)
+        .collect()
+        .await;
+    let versions = views.into_iter().flatten().map(|view| view.version);
+    versions.max().unwrap_or(0)
+}
+
 /// Waits until every node has `version` in force, or `wait` is over; `progress` is told the number
 /// of those that have it and of all.
 ///
-/// A node that has it is not asked again; the roster is read anew in each round, so that a node
-/// that went is not waited for.
+/// A node that has it is not asked again. The roster is read anew in each round, so that a node
+/// that went or is not heard any more is not waited for.
 pub(crate) async fn wait_for_version(
     client: &AdminClient,
     admin: &[SocketAddr],
@@ -77,18 +94,24 @@
     mut progress: impl FnMut(usize, usize),
 ) -> Result<Vec<NodeVersion>, Report<CtlError>> {
     let clock = Instant::now();
-    let mut known: Vec<NodeVersion> = Vec::new();
+    let mut known = IndexMap::<SocketAddr, NodeVersion>::new();
     loop {
         let present = nodes(&roster(client, admin).await?);
-        known.retain(|it| it.has(version) && present.contains(&it.node));
-        let is_known = |node: &Node| known.iter().any(|it| it.node == *node);
-        let missing = present.into_iter().filter(|it| !is_known(it)).collect();
-        known.extend(versions(client, missing).await);
-        let in_force = known.iter().filter(|it| it.has(version)).count();
-        progress(in_force, known.len());
-        if in_force == known.len() || clock.elapsed() >= wait {
-            return Ok(known);
+        let (kept, asked): (Vec<_>, Vec<_>) = present.into_iter().partition(|node| {
+            let seen = known.get(&node.admin);
+            seen.is_some_and(|it| it.node == *node && it.has(version))
+        });
+        let kept = kept
+            .iter()
+            .filter_map(|node| known.get(&node.admin).cloned());
+        let round: Vec<_> = kept.chain(versions(client, asked).await).collect();
+        let in_force = round.iter().filter(|it| it.has(version)).count();
+        progress(in_force, round.len());
+        let settled = round.iter().all(|it| it.is_settled(version));
+        if settled || clock.elapsed() >= wait {
+            return Ok(round);
         }
+        known = round.into_iter().map(|it| (it.node.admin, it)).collect();
         tokio::time::sleep(ROUND_PAUSE).await;
     }
 }
