fix(lab): a deadline that a killed agent used up is explained by the kill

Ruled out: any part of the second agent in it. Only a missed deadline is explained so, and only of a request that an unplanned event had delayed; a cut stays unexplained, which has a test.

An ordinary change of the operator's files now differs from the default queue; one in twenty changed nothing and was waited for in vain (60 s).

--- a/arbutus-lab/src/deployment/operator.rs
+++ b/arbutus-lab/src/deployment/operator.rs
@@ -15,8 +15,8 @@
 /// Exit code of `arbutusctl` for a change that some node does not have in force yet, as one that
 /// is paused does not.
 const ACCEPTED_NOT_EVERYWHERE: i32 = 6;
-/// Least length of the queue that an ordinary change sets.
-const QUEUE: u64 = 20;
+/// Length of the queue of a service whose files set none; an ordinary change sets a longer one.
+const DEFAULT_QUEUE: u64 = 20;
 
 /// The operator of a deployment: a folder of files, and `arbutusctl`.
 #[derive(Debug, Clone)]
@@ -88,7 +88,7 @@
     ///
     /// Fails where the file cannot be written or `arbutusctl` fails.
     pub async fn change(&self, service: &str, number: u64) -> Result<String, Report<LabError>> {
-        let queue = QUEUE + number % QUEUE;
+        let queue = DEFAULT_QUEUE + 1 + number % DEFAULT_QUEUE;
         let requests = json!({ "requests": { "queue": queue } });
         let text = format!("{:#}\n", json!({ "services": { service: requests } }));
         let path = self.folder.join("20-queue.jsonc");
--- a/arbutus-lab/src/verdict/flows.rs
+++ b/arbutus-lab/src/verdict/flows.rs
@@ -1,5 +1,10 @@
+use std::collections::BTreeSet;
+
 use super::{Evidence, blame::Blame};
-use crate::caller::{AttemptEnd, FlowEnd, Told};
+use crate::caller::{AttemptEnd, AttemptRecord, FlowEnd, Told};
+
+/// Status of an answer that says that the deadline has come.
+const DEADLINE_STATUS: u16 = 504;
 
 /// What became of flows and of requests in progress.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -22,10 +27,21 @@
             FlowEnd::Open | FlowEnd::Graceful => {}
         }
     }
-    for attempt in &evidence.callers.attempts {
-        let cut = matches!(attempt.end, AttemptEnd::Cut | AttemptEnd::TimedOut);
-        let unclean = cut || attempt.told == Some(Told::Unknown);
-        if !unclean || blame.explains_attempt(attempt) {
+    let unclean: Vec<_> = evidence
+        .callers
+        .attempts
+        .iter()
+        .filter(|it| is_unclean(it))
+        .collect();
+    // Requests that lost time to an unplanned event, and so may miss their deadline elsewhere.
+    let delayed: BTreeSet<&str> = unclean
+        .iter()
+        .filter(|it| blame.explains_attempt(it))
+        .map(|it| &*it.request)
+        .collect();
+    for attempt in unclean {
+        let late = is_late(attempt) && delayed.contains(&*attempt.request);
+        if late || blame.explains_attempt(attempt) {
             continue;
         }
         if blame.planned_before(attempt.end_us) {
@@ -36,3 +52,13 @@
     }
     counts
 }
+
+fn is_unclean(attempt: &AttemptRecord) -> bool {
+    let cut = matches!(attempt.end, AttemptEnd::Cut | AttemptEnd::TimedOut);
+    cut || attempt.told == Some(Told::Unknown)
+}
+
+/// Whether the attempt ended because its deadline had come.
+fn is_late(attempt: &AttemptRecord) -> bool {
+    attempt.end == AttemptEnd::TimedOut || attempt.status == Some(DEADLINE_STATUS)
+}
--- a/arbutus-lab/tests/verdict.rs
+++ b/arbutus-lab/tests/verdict.rs
@@ -46,6 +46,24 @@
     }
 }
 
+fn missed_deadline(id: &str) -> AttemptRecord {
+    AttemptRecord {
+        status: Some(504),
+        told: Some(Told::Unknown),
+        end: AttemptEnd::Refused,
+        ..attempt(id)
+    }
+}
+
+/// The attempt as one at `agent-2`.
+fn elsewhere(attempt: AttemptRecord) -> AttemptRecord {
+    AttemptRecord {
+        flow: Arc::from("f2"),
+        backend: Some(Arc::from("agent-2")),
+        ..attempt
+    }
+}
+
 fn flow(end: FlowEnd) -> FlowRecord {
     FlowRecord {
         id: Arc::from("f"),
@@ -202,6 +220,23 @@
     figure: "unexplained",
     value: 1.0,
 })]
+#[case::a_second_cut_of_a_delayed_request_shows(Case {
+    spoil: |it| {
+        it.callers.attempts[0] = cut("a");
+        it.changes.push(change(ChangeKind::Kill, "agent-1"));
+        it.callers.attempts.push(elsewhere(cut("a2")));
+    },
+    figure: "unexplained",
+    value: 1.0,
+})]
+#[case::a_missed_deadline_of_a_request_that_was_not_delayed_shows(Case {
+    spoil: |it| {
+        it.changes.push(change(ChangeKind::Kill, "agent-1"));
+        it.callers.attempts.push(elsewhere(missed_deadline("a2")));
+    },
+    figure: "unexplained",
+    value: 1.0,
+})]
 #[case::new_work_long_after_a_drain_shows(Case {
     spoil: |it| {
         let mut drain = change(ChangeKind::Drain, "agent-1");
@@ -250,6 +285,11 @@
     it.callers.attempts[0] = cut("a");
     it.changes.push(change(ChangeKind::Misbehave, "agent-1").until_us(11 * SECOND));
 })]
+#[case::a_missed_deadline_after_a_kill_used_the_time_up(|it: &mut Evidence| {
+    it.callers.attempts[0] = cut("a");
+    it.changes.push(change(ChangeKind::Kill, "agent-1"));
+    it.callers.attempts.push(elsewhere(missed_deadline("a2")));
+})]
 #[case::work_sent_before_the_drain(|it: &mut Evidence| {
     it.callers.attempts[0].start_us = 9 * SECOND;
     it.changes.push(change(ChangeKind::Drain, "agent-1"));
