--- a/arbutus-core/tests/flow/fleet.rs
+++ b/arbutus-core/tests/flow/fleet.rs
@@ -8,6 +8,9 @@
     tunnel::{Candidates, Endpoints, TunnelHeader},
 };
 
+/// Visits after which a flow is held to go round for ever.
+const MOST_VISITS: usize = 10;
+
 /// A few agents of one service, with links that carry reports at once or not at all.
 pub struct Fleet {
     pub agents: Vec<FlowAdmission>,
@@ -101,6 +104,7 @@
                 Admission::PassOn(hop) => {
                     header = hop.header;
                     agents.push(index(hop.to));
+                    assert!(agents.len() <= MOST_VISITS, "a flow goes round: {agents:?}");
                 }
                 end => return Way { agents, end },
             }
--- a/arbutus-core/tests/flow/script.rs
+++ b/arbutus-core/tests/flow/script.rs
@@ -1,6 +1,6 @@
 //! The script language: agents go by letters, flows by numbers, time in milliseconds.
 
-use std::{error::Error, str::FromStr};
+use std::{error::Error, fmt::Write, str::FromStr};
 
 use arbutus_core::{
     flow::{Admission, Event, FirstPacket, FlowLimits, FlowPolicy},
@@ -84,6 +84,7 @@
             running: positional(args)?,
             queued: positional(args)?,
         },
+        "free-slots" => Event::FreeSlots(positional(args)?),
         "shed" => Event::Shed,
         "drain" => Event::Drain,
         "resume" => Event::Resume,
@@ -153,7 +154,7 @@
             "reports_sent" => counts.reports_sent,
             other => return Err(format!("no count {other}").into()),
         };
-        output += &format!("{arg} {value}\n");
+        writeln!(output, "{arg} {value}")?;
     }
     Ok(output)
 }
@@ -174,9 +175,7 @@
     name: &str,
     default: T,
 ) -> Result<T, Failure> {
-    Ok(args
-        .take_key(name)
-        .map_or(Ok(default), |arg| arg.parse::<T>())?)
+    Ok(args.take_key(name).map_or(Ok(default), str::parse::<T>)?)
 }
 
 #[rstest]
