--- a/arbutus-core/src/membership/balancer_node/configs.rs
+++ b/arbutus-core/src/membership/balancer_node/configs.rs
@@ -115,7 +115,8 @@
     }
 
     pub(super) fn read_store(&mut self, now: Timestamp) {
-        let is_reader = self.is_reader();
+        let knows_others = !self.is_joining || self.peers.is_empty();
+        let is_reader = self.is_reader() && (knows_others || now >= self.reads_from);
         if let Some(read) = self.store.poll(is_reader, self.book.version(), now) {
             self.actions.push(BalancerAction::AskStore(read));
         }
--- a/arbutus-core/src/membership/balancer_node/node.rs
+++ b/arbutus-core/src/membership/balancer_node/node.rs
@@ -42,6 +42,8 @@
     pub(super) is_joining: bool,
     /// When it counts as joined in any case.
     pub(super) joined_by: Timestamp,
+    /// When it takes itself for a reader of the store though it may know no other balancers.
+    pub(super) reads_from: Timestamp,
     pub(super) next_round: Timestamp,
     pub(super) next_reconnect: Timestamp,
     pub(super) next_repair: Timestamp,
@@ -69,7 +71,8 @@
             age_s: 0,
         };
         roster.merge(update, now);
-        let store = StoreSchedule::new(now, settings.store_start, &mut rng);
+        let store = StoreSchedule::new(settings.store_poll, now, &mut rng);
+        let store_pause = settings.store_start.mul_f64(rng.random_range(1.0..2.0));
         let first_round = settings.round.mul_f64(rng.random());
         Self {
             homes: HomeList::new(&roster, now),
@@ -85,6 +88,7 @@
             suspected: IndexMap::new(),
             is_joining: true,
             joined_by: now + Self::JOIN_LIMIT,
+            reads_from: now + store_pause,
             next_round: now + first_round,
             next_reconnect: now,
             next_repair: now,
--- a/arbutus-core/src/membership/settings.rs
+++ b/arbutus-core/src/membership/settings.rs
@@ -49,7 +49,8 @@
     pub readers: usize,
     /// Mean time between two reads of the store by other balancers.
     pub store_poll: Duration,
-    /// Span over which the first reads of the store by new balancers are spread.
+    /// Time in which a new balancer leaves the store to others until it knows them; up to twice as
+    /// long by chance.
     pub store_start: Duration,
     /// Time from a refuted notice about a failure domain to the next one.
     pub notice_pause: Duration,
--- a/arbutus-core/src/spread/store_schedule.rs
+++ b/arbutus-core/src/spread/store_schedule.rs
@@ -26,10 +26,11 @@
     /// Time after which a read counts as lost.
     const ANSWER_TIMEOUT: Duration = Duration::from_secs(120);
 
-    /// Makes a schedule whose first read is due within `spread`.
-    pub fn new(now: Timestamp, spread: Duration, rng: &mut ChaCha8Rng) -> Self {
+    /// Makes a schedule whose first read is due after `poll_interval`, or as soon as the node
+    /// becomes a reader.
+    pub fn new(poll_interval: Duration, now: Timestamp, rng: &mut ChaCha8Rng) -> Self {
         Self {
-            next_read: now + jitter(Duration::ZERO, spread, rng),
+            next_read: now + jitter(poll_interval / 2, poll_interval * 3 / 2, rng),
             waiting_since: None,
             was_reader: false,
             retry: Self::RETRY_MIN,
