fix(io): requests for a peer that is gone share one attempt to reach it

Cause: each hand-over to a dead agent opened a connection of its own, whose first packets of 1,200 bytes went out again and again until its timeout; two tasks could also set up two HTTP/3 clients on one connection.

--- a/arbutus-io/src/agent/peer_client.rs
+++ b/arbutus-io/src/agent/peer_client.rs
@@ -1,7 +1,10 @@
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, sync::Arc};
 
 use bytes::{Buf, Bytes};
-use h3::client::{RequestStream, SendRequest};
+use h3::{
+    client::{RequestStream, SendRequest},
+    error::StreamError,
+};
 use h3_quinn::{BidiStream, OpenStreams};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -15,8 +18,15 @@
 /// Requests to peer agents, over HTTP/3 on the control endpoint.
 pub(super) struct PeerClient {
     control: ControlEndpoint,
-    /// An open connection for each peer; the lock is held for a look-up only.
-    senders: Mutex<IndexMap<SocketAddrV4, Sender>>,
+    /// One for each peer; the lock is held for a look-up only.
+    peers: Mutex<IndexMap<SocketAddrV4, Arc<tokio::sync::Mutex<Peer>>>>,
+}
+
+/// The HTTP/3 client of one peer, locked while it is being set up.
+#[derive(Default)]
+struct Peer {
+    /// Absent before the first request and after a failed one.
+    sender: Option<Sender>,
 }
 
 /// A response of a peer, its body still to come.
@@ -31,7 +41,7 @@
     pub(super) fn new(control: ControlEndpoint) -> Self {
         Self {
             control,
-            senders: Mutex::default(),
+            peers: Mutex::default(),
         }
     }
 
@@ -46,29 +56,25 @@
         req: http::Request<()>,
         body: Bytes,
     ) -> Result<PeerResponse, SendFailed> {
-        let mut sender = self.sender(peer).await?;
-        let stream = match sender.send_request(req).await {
-            Ok(stream) => stream,
-            Err(err) => {
-                tracing::debug!(%err, %peer, "hand_over_failed");
-                self.senders.lock().swap_remove(&peer);
-                return Err(SendFailed { sent: true });
-            }
+        let slot = self.peers.lock().entry(peer).or_default().clone();
+        let mut sender = self.sender(peer, &slot).await?;
+        let result = match sender.send_request(req).await {
+            Ok(stream) => Self::exchange(stream, body).await,
+            Err(err) => Err(err),
         };
-        let result = Self::exchange(stream, body).await;
-        if result.is_err() {
-            self.senders.lock().swap_remove(&peer);
-        }
-        result.map_err(|err| {
+        if let Err(err) = &result {
             tracing::debug!(%err, %peer, "hand_over_failed");
-            SendFailed { sent: true }
+            // A connection has one HTTP/3 client, so that this one stays while its connection does.
+            if matches!(err, StreamError::ConnectionError { .. }) {
+                slot.lock().await.sender = None;
+            }
+        }
+        result.map_err(|err| SendFailed {
+            sent: !matches!(err, StreamError::RemoteClosing { .. }),
         })
     }
 
-    async fn exchange(
-        mut stream: Stream,
-        body: Bytes,
-    ) -> Result<PeerResponse, h3::error::StreamError> {
+    async fn exchange(mut stream: Stream, body: Bytes) -> Result<PeerResponse, StreamError> {
         if !body.is_empty() {
             stream.send_data(body).await?;
         }
@@ -77,14 +83,19 @@
         Ok(PeerResponse { parts, stream })
     }
 
-    async fn sender(&self, peer: SocketAddrV4) -> Result<Sender, SendFailed> {
-        let known = self.senders.lock().get(&peer).cloned();
-        if let Some(sender) = known {
-            return Ok(sender);
+    /// The peer's client; requests that come while it is set up wait for it.
+    async fn sender(
+        &self,
+        peer: SocketAddrV4,
+        slot: &tokio::sync::Mutex<Peer>,
+    ) -> Result<Sender, SendFailed> {
+        let mut slot = slot.lock().await;
+        if let Some(sender) = &slot.sender {
+            return Ok(sender.clone());
         }
         let unreachable = SendFailed { sent: false };
         let connection = self.control.hand_over(peer).await.map_err(|err| {
-            tracing::info!(%err, %peer, "peer_unreachable");
+            tracing::debug!(%err, %peer, "peer_unreachable");
             unreachable
         })?;
         let (mut driver, sender) = h3::client::new(h3_quinn::Connection::new(connection))
@@ -94,7 +105,7 @@
             let reason = driver.wait_idle().await;
             tracing::debug!(%reason, %peer, "peer_connection_ended");
         });
-        self.senders.lock().insert(peer, sender.clone());
+        slot.sender = Some(sender.clone());
         Ok(sender)
     }
 }
@@ -105,7 +116,7 @@
     /// # Errors
     ///
     /// Fails where the response does not end whole.
-    pub(super) async fn data(&mut self) -> Result<Option<Bytes>, h3::error::StreamError> {
+    pub(super) async fn data(&mut self) -> Result<Option<Bytes>, StreamError> {
         let piece = self.stream.recv_data().await?;
         Ok(piece.map(|mut piece| piece.copy_to_bytes(piece.remaining())))
     }
--- a/arbutus-io/src/control.rs
+++ b/arbutus-io/src/control.rs
@@ -6,6 +6,7 @@
 mod control_event;
 mod counting_socket;
 mod envelope;
+mod hand_over_links;
 mod tls_config;
 
 pub use control_endpoint::ControlEndpoint;
--- a/arbutus-io/src/control/control_endpoint.rs
+++ b/arbutus-io/src/control/control_endpoint.rs
@@ -16,11 +16,14 @@
     ControlError, ControlEvent,
     connection_table::ConnectionTable,
     counting_socket::CountingSocket,
+    hand_over_links::HandOverLinks,
     tls_config::{self, ALPN_CONTROL, ALPN_HANDOVER, CONTROL_NAME},
 };
 use crate::{metrics::ControlMetrics, reset_key, udp};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a process that could not be reached is not tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
 const EVENT_QUEUE: usize = 4_096;
 /// Longest message on a stream, in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
@@ -39,8 +42,8 @@
     messages: quinn::ClientConfig,
     hand_over: quinn::ClientConfig,
     connections: ConnectionTable,
-    hand_overs: ConnectionTable,
-    /// Addresses that a connection is being opened to.
+    hand_overs: HandOverLinks,
+    /// Addresses that a connection is being opened to, or was not lately.
     connecting: Mutex<IndexSet<SocketAddrV4>>,
     events: mpsc::Sender<ControlEvent>,
 }
@@ -74,7 +77,7 @@
             messages: tls_config::client(tls, ALPN_CONTROL)?,
             hand_over: tls_config::client(tls, ALPN_HANDOVER)?,
             connections: ConnectionTable::default(),
-            hand_overs: ConnectionTable::default(),
+            hand_overs: HandOverLinks::default(),
             connecting: Mutex::default(),
             events,
         });
@@ -97,6 +100,8 @@
 
     /// A connection for handing requests over to the process at `address`.
     ///
+    /// Callers share one attempt, and a process that was not reached is left alone for a pause.
+    ///
     /// # Errors
     ///
     /// Fails where the process cannot be reached; nothing was sent then.
@@ -104,12 +109,8 @@
         &self,
         address: SocketAddrV4,
     ) -> Result<quinn::Connection, quinn::ConnectionError> {
-        if let Some(connection) = self.shared.hand_overs.get(address) {
-            return Ok(connection);
-        }
-        let connection = connect(&self.shared, &self.shared.hand_over, address).await?;
-        self.shared.hand_overs.insert(address, connection.clone());
-        Ok(connection)
+        let connect = connect(&self.shared, &self.shared.hand_over, address);
+        self.shared.hand_overs.get(address, connect).await
     }
 
     /// Closes all connections.
@@ -141,10 +142,9 @@
 }
 
 async fn connect_and_send(shared: Arc<Shared>, address: SocketAddrV4, bytes: Bytes) {
-    let result = connect(&shared, &shared.messages, address).await;
-    shared.connecting.lock().swap_remove(&address);
-    match result {
+    match connect(&shared, &shared.messages, address).await {
         Ok(connection) => {
+            shared.connecting.lock().swap_remove(&address);
             shared.connections.insert(address, connection.clone());
             send_on(&connection, bytes);
             read_messages(shared, address, connection).await;
@@ -153,6 +153,8 @@
             tracing::debug!(%err, %address, "control_connect_failed");
             let event = ControlEvent::Unreachable { address };
             let _ = shared.events.send(event).await;
+            tokio::time::sleep(RETRY_PAUSE).await;
+            shared.connecting.lock().swap_remove(&address);
         }
     }
 }
