perf(core): an established flow's tunnel header is copied from a template

Cause: the header's builder allocated twice for each packet. Flow policies now follow the service's balance.

--- a/arbutus-core/src/tunnel.rs
+++ b/arbutus-core/src/tunnel.rs
@@ -1,6 +1,7 @@
 //! Datagrams between balancers and agents: a PROXY protocol v2 header before the caller's packet.
 
 mod candidates;
+mod plain_header;
 mod tunnel_codec;
 mod tunnel_error;
 mod tunnel_header;
--- a/arbutus-core/src/tunnel/candidates.rs
+++ b/arbutus-core/src/tunnel/candidates.rs
@@ -37,6 +37,12 @@
         &self.agents[..usize::from(self.len)]
     }
 
+    /// Whether nobody is named.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
     /// The same agents without `agent`.
     #[must_use]
     pub fn without(&self, agent: SocketAddrV4) -> Self {
--- a/arbutus-core/src/tunnel/tunnel_codec.rs
+++ b/arbutus-core/src/tunnel/tunnel_codec.rs
@@ -7,7 +7,7 @@
 use ppp::v2;
 use siphasher::sip128::{Hasher128, SipHasher24};
 
-use super::{Candidates, Endpoints, MAX_PAYLOAD_BYTES, TunnelError, TunnelHeader};
+use super::{Candidates, Endpoints, MAX_PAYLOAD_BYTES, TunnelError, TunnelHeader, plain_header};
 use crate::{ident::ServiceTag, keys::KeyRing, keys::SystemKey};
 
 /// TLV types from the range that the protocol leaves to applications.
@@ -40,8 +40,13 @@
         return Err(TunnelError::Oversized);
     }
     let start = buf.len();
-    let head = build(header, keys.current_number()).map_err(|_| TunnelError::Header)?;
-    buf.extend_from_slice(&head);
+    let key_number = keys.current_number();
+    if header.is_plain() {
+        plain_header::append(header, key_number, buf);
+    } else {
+        let head = build(header, key_number).map_err(|_| TunnelError::Header)?;
+        buf.extend_from_slice(&head);
+    }
     let code = code(keys.current(), &buf[start..buf.len() - CODE_BYTES], payload);
     let code_at = buf.len() - CODE_BYTES;
     buf[code_at..].copy_from_slice(&code);
@@ -134,7 +139,8 @@
     )
 }
 
-fn build(header: &TunnelHeader, key_number: u8) -> io::Result<Vec<u8>> {
+/// Builds a header whose code is still zero.
+pub(super) fn build(header: &TunnelHeader, key_number: u8) -> io::Result<Vec<u8>> {
     let mut candidates = [0; Candidates::MAX * ADDRESS_BYTES];
     let named = header.candidates.as_slice();
     for (chunk, agent) in candidates.chunks_exact_mut(ADDRESS_BYTES).zip(named) {
--- a/arbutus-core/src/tunnel/tunnel_header.rs
+++ b/arbutus-core/src/tunnel/tunnel_header.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// Whether only the endpoints and the tag are set, as for an established flow.
+    #[must_use]
+    pub const fn is_plain(&self) -> bool {
+        self.candidates.is_empty() && self.hops == 0 && self.via.is_none()
+    }
+
     /// Sets who may take the flow.
     #[must_use]
     pub const fn candidates(mut self, candidates: Candidates) -> Self {
--- a/arbutus-io/src/agent/server.rs
+++ b/arbutus-io/src/agent/server.rs
@@ -107,6 +107,8 @@
     pub(super) fn set_service(&mut self, service: &Service, weight_percent: u32) {
         let limits = FlowLimits::of_service(service, &self.name, weight_percent);
         self.flows.handle(flow::Event::Limits(limits));
+        let policy = FlowPolicy::for_balance(service.balance);
+        self.flows.handle(flow::Event::Policy(policy));
         self.requests.handle(request::Event::PolicyChanged {
             policy: service.requests.clone(),
             balance: service.balance,
