--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -13,7 +13,7 @@
 }
 
 /// The whole set; the sizes are those of docs/CAPACITY.md and docs/POLICY.md.
-const SET: [Measurement; 4] = [
+const SET: [Measurement; 5] = [
     Measurement {
         name: "data-path",
         args: &["data-path", "--trials", "5", "--seconds", "2"],
@@ -30,6 +30,10 @@
         name: "membership",
         args: &["membership", "--seed", "1"],
     },
+    Measurement {
+        name: "configuration",
+        args: &["configuration"],
+    },
 ];
 
 /// Runs the set and writes one file for each measurement into `out`.
