--- a/arbutus-core/src/flow.rs
+++ b/arbutus-core/src/flow.rs
@@ -62,6 +62,7 @@
 mod pass_memory;
 mod peer;
 mod peer_table;
+mod placement;
 mod ramp;
 mod recent_sheds;
 mod report_schedule;
--- a/arbutus-core/src/flow/flow_admission.rs
+++ b/arbutus-core/src/flow/flow_admission.rs
@@ -4,25 +4,20 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
-    Action, Admission, Event, FirstPacket, FlowCounts, FlowDrop, FlowKey, FlowLimits, FlowPolicy,
-    Load, LoadReport, Refusal, flow_table::FlowTable, pass_memory::PassMemory,
-    peer_table::PeerTable, ramp::Ramp, recent_sheds::RecentSheds, report_schedule::ReportSchedule,
+    Action, Admission, Event, FirstPacket, FlowCounts, FlowKey, FlowLimits, FlowPolicy, Load,
+    LoadReport, flow_table::FlowTable, pass_memory::PassMemory, peer_table::PeerTable, ramp::Ramp,
+    recent_sheds::RecentSheds, report_schedule::ReportSchedule,
 };
 use crate::{
     ident::{Incarnation, ServiceTag},
     roster::AgentRecord,
-    route::{self, Hop},
+    route,
     time::Timestamp,
-    tunnel::TunnelHeader,
 };
 
-/// Hops from which an agent with room takes a flow even where a peer seems better, since the peer
-/// may be full by now and the flow's hops are few.
-const PREFERRING_HOPS: u8 = 2;
-
 /// Whether new flows may be admitted at all.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
+pub(super) enum Phase {
     Open,
     Draining,
     Stopping,
@@ -34,28 +29,28 @@
 /// address and incarnation.
 #[derive(Debug)]
 pub struct FlowAdmission {
-    tunnel: SocketAddrV4,
-    tag: ServiceTag,
-    incarnation: Incarnation,
-    limits: FlowLimits,
-    policy: FlowPolicy,
-    phase: Phase,
+    pub(super) tunnel: SocketAddrV4,
+    pub(super) tag: ServiceTag,
+    pub(super) incarnation: Incarnation,
+    pub(super) limits: FlowLimits,
+    pub(super) policy: FlowPolicy,
+    pub(super) phase: Phase,
     /// Whether [`Action::Drained`] has been given for the present drain or stop.
-    drained_told: bool,
-    ramp: Ramp,
+    pub(super) drained_told: bool,
+    pub(super) ramp: Ramp,
     /// Never grows past `limits.connections`, and not at all unless `phase` is open.
-    flows: FlowTable,
-    passed: PassMemory,
-    peers: PeerTable,
-    running: u32,
-    queued: u32,
+    pub(super) flows: FlowTable,
+    pub(super) passed: PassMemory,
+    pub(super) peers: PeerTable,
+    pub(super) running: u32,
+    pub(super) queued: u32,
     /// As [`Event::FreeSlots`] told last.
-    free_slots: u32,
-    sheds: RecentSheds,
-    sequence: u32,
-    schedule: ReportSchedule,
-    rng: ChaCha8Rng,
-    counts: FlowCounts,
+    pub(super) free_slots: u32,
+    pub(super) sheds: RecentSheds,
+    pub(super) sequence: u32,
+    pub(super) schedule: ReportSchedule,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) counts: FlowCounts,
 }
 
 impl FlowAdmission {
@@ -186,117 +181,6 @@
         self.phase != Phase::Open
     }
 
-    fn decide(&mut self, packet: &FirstPacket<'_>, now: Timestamp) -> Admission {
-        let header = &packet.header;
-        if header.tag != self.tag {
-            return Admission::Drop(FlowDrop::WrongService);
-        }
-        let Some(flow) = FlowKey::new(header.endpoints.source, packet.dcid) else {
-            return Admission::Drop(FlowDrop::Malformed);
-        };
-        if self.flows.contains(&flow) {
-            self.counts.repeated += 1;
-            return Admission::Accept;
-        }
-        let passed = self.passed.get(&flow);
-        let came_round = passed.is_some_and(|passed| header.hops > passed.hops);
-        if let Some(passed) = passed
-            && !came_round
-            && header.hops < self.policy.max_hops
-            && !self.peers.is_lost(passed.to, &self.policy, now)
-        {
-            self.counts.repeated += 1;
-            return self.pass_on(header, passed.to);
-        }
-        if !packet.full_size {
-            return Admission::Drop(FlowDrop::NotFirst);
-        }
-        self.place(flow, header, came_round, now)
-    }
-
-    /// Finds the place of a flow that is not known here.
-    fn place(
-        &mut self,
-        flow: FlowKey,
-        header: &TunnelHeader,
-        came_round: bool,
-        now: Timestamp,
-    ) -> Admission {
-        let has_room = self.has_room();
-        let may_prefer = !came_round && header.hops < PREFERRING_HOPS;
-        let may_pass_on = header.hops < self.policy.max_hops && (may_prefer || !has_room);
-        let target = if may_pass_on {
-            self.choose_peer(header, now)
-        } else {
-            None
-        };
-        let Some(to) = target else {
-            return self.accept_or_refuse(flow, now);
-        };
-        self.peers.note_sent(to, &self.policy, now);
-        self.counts.passed_on += 1;
-        self.counts.forgotten += self.passed.insert(flow, to, header.hops, &self.policy, now);
-        self.pass_on(header, to)
-    }
-
-    /// The peer that should take a new flow in place of this agent.
-    fn choose_peer(&mut self, header: &TunnelHeader, now: Timestamp) -> Option<SocketAddrV4> {
-        let own = self.load(now).score(&self.policy);
-        let best = self.peers.best(&self.policy, &mut self.rng, now);
-        let margin = match header.hops {
-            0 => self.policy.first_margin,
-            _ => self.policy.later_margin,
-        };
-        match (own, best) {
-            (Some(own), Some(best)) => (best.score + margin < own).then_some(best.tunnel),
-            (None, Some(best)) => Some(best.tunnel),
-            (Some(_), None) if self.has_free_slot(now) => None,
-            (_, None) => self.next_candidate(header, now),
-        }
-    }
-
-    /// The next agent that the balancer named and that is not known to take nothing.
-    fn next_candidate(&self, header: &TunnelHeader, now: Timestamp) -> Option<SocketAddrV4> {
-        let named = header.candidates.as_slice().iter().copied();
-        named
-            .filter(|agent| *agent != self.tunnel)
-            .find(|agent| !self.peers.takes_none(*agent, &self.policy, now))
-    }
-
-    fn pass_on(&self, header: &TunnelHeader, to: SocketAddrV4) -> Admission {
-        let candidates = header.candidates.without(self.tunnel).without(to);
-        Admission::PassOn(Hop {
-            to,
-            header: header
-                .candidates(candidates)
-                .hops(header.hops.saturating_add(1)),
-        })
-    }
-
-    fn accept_or_refuse(&mut self, flow: FlowKey, now: Timestamp) -> Admission {
-        if self.phase != Phase::Open {
-            return Admission::Refuse(Refusal::Draining);
-        }
-        if !self.has_room() || !self.admit(flow, false, now) {
-            return Admission::Refuse(Refusal::Full);
-        }
-        Admission::Accept
-    }
-
-    /// Takes a flow in hand, unless that would break an invariant.
-    fn admit(&mut self, flow: FlowKey, open: bool, now: Timestamp) -> bool {
-        let within_limit = self.flows.connections() < self.limits.connections;
-        if self.phase != Phase::Open || !within_limit {
-            self.counts.invariant_violations += 1;
-            return false;
-        }
-        self.flows.insert(flow, open, now);
-        self.passed.remove(&flow);
-        self.counts.accepted += 1;
-        self.schedule.note_change();
-        true
-    }
-
     fn open(&mut self, flow: FlowKey, actions: &mut Vec<Action>, now: Timestamp) {
         if self.flows.open(&flow) {
             return;
@@ -424,7 +308,7 @@
     /// Whether one more flow may be admitted.
     ///
     /// A ramp does not count here: where all agents are new, their callers are still served.
-    fn has_room(&self) -> bool {
+    pub(super) fn has_room(&self) -> bool {
         let requests = self.limits.slots.saturating_add(self.limits.queue);
         self.phase == Phase::Open
             && self.limits.weight_percent > 0
@@ -434,7 +318,7 @@
 
     /// Whether the request of one more flow would find a free slot, of which a new agent uses a
     /// part.
-    fn has_free_slot(&self, now: Timestamp) -> bool {
+    pub(super) fn has_free_slot(&self, now: Timestamp) -> bool {
         self.has_room() && self.load(now).requests < self.ramp.scale(self.limits.slots, now)
     }
 
