--- a/arbutus-io/src/agent.rs
+++ b/arbutus-io/src/agent.rs
@@ -11,6 +11,7 @@
 mod flow_desk;
 mod flow_handle;
 mod headers;
+mod outgoing;
 mod peer_client;
 mod peer_loads;
 mod request_desk;
--- a/arbutus-io/src/agent/request_task.rs
+++ b/arbutus-io/src/agent/request_task.rs
@@ -2,13 +2,12 @@
 
 use arbutus_core::request::{Action, Attempt, Event, Outcome};
 use bytes::Bytes;
-use http::{HeaderValue, Uri, header, request};
-use http_body_util::Full;
+use http::{HeaderValue, request};
 use tokio::sync::mpsc;
 
 use super::{
-    backend::{BackendPool, RequestBody},
-    headers,
+    backend::BackendPool,
+    headers, outgoing,
     peer_client::PeerClient,
     request_desk::{RequestDesk, Ticket},
     responder::{CallerGone, Responder},
@@ -147,7 +146,8 @@
     }
 
     fn send(&mut self, attempt: Attempt, deadline: Duration) {
-        let req = self.backend_request(deadline);
+        let services = &self.services;
+        let req = outgoing::to_backend(&self.parts, &self.body, &services.host, deadline);
         let tx = self.steps_tx.clone();
         let current = self.upstream.as_mut().filter(|it| it.attempt == attempt);
         let went = current.is_some_and(|upstream| upstream.send(req, tx));
@@ -162,7 +162,7 @@
             attempt,
             self.services.peers.clone(),
             peer,
-            self.peer_request(deadline),
+            outgoing::to_peer(&self.parts, deadline),
             self.body.clone(),
             self.steps_tx.clone(),
         );
@@ -284,29 +284,6 @@
     fn tell(&self, event: Event) {
         self.services.desk.handle(event);
     }
-
-    fn backend_request(&self, deadline: Duration) -> http::Request<RequestBody> {
-        let mut req = http::Request::new(Full::new(self.body.clone()));
-        *req.method_mut() = self.parts.method.clone();
-        *req.uri_mut() = origin_form(&self.parts.uri);
-        *req.headers_mut() = self.parts.headers.clone();
-        let fields = req.headers_mut();
-        headers::strip(fields);
-        fields.remove(headers::BINDING);
-        fields.remove(header::CONTENT_LENGTH);
-        fields.insert(header::HOST, self.services.host.clone());
-        headers::set_deadline(fields, deadline);
-        req
-    }
-
-    fn peer_request(&self, deadline: Duration) -> http::Request<()> {
-        let mut req = http::Request::new(());
-        *req.method_mut() = self.parts.method.clone();
-        *req.uri_mut() = self.parts.uri.clone();
-        *req.headers_mut() = self.parts.headers.clone();
-        headers::set_deadline(req.headers_mut(), deadline);
-        req
-    }
 }
 
 async fn next_piece(
@@ -317,9 +294,3 @@
         None => Ok(None),
     }
 }
-
-/// The path and query alone, as a request to a server carries them.
-fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().cloned();
-    path.map(Uri::from).unwrap_or_default()
-}
