--- a/arbutus-lab/src/baseline/direct_load.rs
+++ b/arbutus-lab/src/baseline/direct_load.rs
@@ -9,15 +9,12 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use tokio::{
-    task::JoinSet,
-    time::{self, Instant},
-};
+use tokio::{task::JoinSet, time::Instant};
 
 use super::Latency;
-use crate::{content, error::LabError};
+use crate::{caller::Arrivals, content, error::LabError};
 
 type HttpClient = Client<HttpConnector, Empty<Bytes>>;
 
@@ -46,18 +43,13 @@
         let client = Client::builder(TokioExecutor::new()).build_http();
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
         let mean = Duration::from_secs(1) / self.rate.max(1);
-        let start = Instant::now();
-        let mut due = start;
+        let mut arrivals = Arrivals::begin(mean, self.duration);
         let mut requests = JoinSet::new();
-        for number in 0.. {
-            let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
-            due += mean.mul_f64(-uniform.ln());
-            if due >= start + self.duration {
-                break;
-            }
-            time::sleep_until(due).await;
+        let mut number = 0;
+        while arrivals.next(&mut rng).await {
             let backend = self.backends[number % self.backends.len()];
             requests.spawn(ask(client.clone(), backend, self.service.clone(), number));
+            number += 1;
         }
         let mut latencies = Latency::histogram();
         while let Some(result) = requests.join_next().await {
--- a/arbutus-lab/src/caller.rs
+++ b/arbutus-lab/src/caller.rs
@@ -1,5 +1,6 @@
 //! Callers' load over HTTP/3, and the journal of what they were told.
 
+mod arrivals;
 mod attempt_record;
 mod caller_journal;
 mod caller_options;
@@ -10,6 +11,7 @@
 mod session;
 mod tls;
 
+pub(crate) use arrivals::Arrivals;
 pub use attempt_record::{AttemptEnd, AttemptRecord, Told};
 pub use caller_journal::{CallerJournal, RequestRecord};
 pub use caller_options::CallerOptions;
--- a/arbutus-lab/src/caller/load.rs
+++ b/arbutus-lab/src/caller/load.rs
@@ -4,13 +4,11 @@
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::{
-    task::JoinSet,
-    time::{self, Instant},
-};
+use tokio::task::JoinSet;
 
 use super::{
-    CallerJournal, CallerOptions, request::CallerRequest, session::Session, tls::client_config,
+    Arrivals, CallerJournal, CallerOptions, request::CallerRequest, session::Session,
+    tls::client_config,
 };
 use crate::error::LabError;
 
@@ -40,19 +38,14 @@
 async fn drive(session: Arc<Session>, mut rng: ChaCha8Rng) {
     let options = &session.options;
     let mean = Duration::from_secs(u64::from(options.callers.max(1))) / options.rate.max(1);
-    let start = Instant::now();
-    let mut due = start;
+    let mut arrivals = Arrivals::begin(mean, options.duration);
     let mut requests = JoinSet::new();
-    for number in 0.. {
-        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
-        due += mean.mul_f64(-uniform.ln());
-        if due >= start + options.duration {
-            break;
-        }
+    let mut number = 0;
+    while arrivals.next(&mut rng).await {
         let repeatable = rng.random_range(0..100) >= options.post_percent;
-        time::sleep_until(due).await;
         let request = CallerRequest::new(Arc::clone(&session), number, repeatable);
         requests.spawn(request.run());
+        number += 1;
     }
     requests.join_all().await;
     session.finish().await;
