refactor: records become views beside the views, one gauge setter, a dead comparison gone

Cause: the agent reached into the balancer's module to show a record, the connection gauge was set by the same lines twice, and AgentRecord::supersedes had no caller, since records merge by rank.

--- a/arbutus-core/src/roster/agent_record.rs
+++ b/arbutus-core/src/roster/agent_record.rs
@@ -42,10 +42,4 @@
             state: self.state,
         }
     }
-
-    /// Whether this record replaces `other`, which has the same key.
-    #[must_use]
-    pub fn supersedes(&self, other: &Self) -> bool {
-        self.rank() > other.rank()
-    }
 }
--- a/arbutus-io/src/admin/views.rs
+++ b/arbutus-io/src/admin/views.rs
@@ -4,6 +4,7 @@
 mod balancer_view;
 mod config_view;
 mod roster_view;
+mod state_name;
 
 pub use agent_view::AgentView;
 pub use balancer_view::BalancerView;
--- a/arbutus-io/src/admin/views/agent_view.rs
+++ b/arbutus-io/src/admin/views/agent_view.rs
@@ -1,7 +1,10 @@
 use std::{net::SocketAddr, net::SocketAddrV4, sync::Arc};
 
+use arbutus_core::{config::Snapshot, roster::AgentRecord};
 use serde::{Deserialize, Serialize};
 
+use super::state_name;
+
 /// An agent in the body of `/roster`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct AgentView {
@@ -26,3 +29,26 @@
     /// Its share of new flows, in percent of an equal one.
     pub weight_percent: u32,
 }
+
+impl AgentView {
+    /// An agent's record, with its service's name out of `config`.
+    #[must_use]
+    pub fn of(record: &AgentRecord, config: &Snapshot) -> Self {
+        let service = config.services.get(&record.tag);
+        Self {
+            name: record.name.clone(),
+            service: service.map_or_else(
+                || Arc::from(record.tag.to_string()),
+                |service| service.name.clone(),
+            ),
+            tunnel: record.tunnel,
+            control: record.control,
+            admin: (*record.control.ip(), record.admin_port).into(),
+            failure_domain: record.failure_domain.clone(),
+            incarnation: record.incarnation.get(),
+            version: record.version,
+            state: Arc::from(state_name::of(record.state)),
+            weight_percent: record.weight_percent,
+        }
+    }
+}
--- a/arbutus-io/src/admin/views/balancer_view.rs
+++ b/arbutus-io/src/admin/views/balancer_view.rs
@@ -1,7 +1,10 @@
 use std::{net::SocketAddr, net::SocketAddrV4, sync::Arc};
 
+use arbutus_core::roster::BalancerRecord;
 use serde::{Deserialize, Serialize};
 
+use super::state_name;
+
 /// A balancer in the body of `/roster`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct BalancerView {
@@ -16,3 +19,17 @@
     /// Its state, in lower case.
     pub state: Arc<str>,
 }
+
+impl BalancerView {
+    /// A balancer's record.
+    #[must_use]
+    pub fn of(record: &BalancerRecord) -> Self {
+        Self {
+            name: record.name.clone(),
+            admin: (*record.control.ip(), record.admin_port).into(),
+            control: record.control,
+            failure_domain: record.failure_domain.clone(),
+            state: Arc::from(state_name::of(record.state)),
+        }
+    }
+}
--- a/arbutus-io/src/agent/flow_desk.rs
+++ b/arbutus-io/src/agent/flow_desk.rs
@@ -120,9 +120,7 @@
             open.insert(flow, connection);
             open.len()
         };
-        self.metrics
-            .connections
-            .set(count.try_into().unwrap_or(i64::MAX));
+        self.show_connections(count);
         self.handle(Event::Opened(flow));
     }
 
@@ -138,9 +136,7 @@
             open.swap_remove(&flow);
             open.len()
         };
-        self.metrics
-            .connections
-            .set(count.try_into().unwrap_or(i64::MAX));
+        self.show_connections(count);
         self.handle(Event::Closed(flow));
     }
 
@@ -172,6 +168,11 @@
         self.drained.notified().await;
     }
 
+    fn show_connections(&self, count: usize) {
+        let count = count.try_into().unwrap_or(i64::MAX);
+        self.metrics.connections.set(count);
+    }
+
     fn act(&self, action: Action) {
         match action {
             Action::Report {
--- a/arbutus-io/src/agent/views.rs
+++ b/arbutus-io/src/agent/views.rs
@@ -5,10 +5,7 @@
     membership::AgentNode,
 };
 
-use crate::{
-    admin::views::{ConfigView, RosterView},
-    balancer::views::agent,
-};
+use crate::admin::views::{AgentView, ConfigView, RosterView};
 
 /// The body of an agent's `/config`.
 pub(super) fn config(name: &Arc<str>, node: &AgentNode) -> ConfigView {
@@ -26,6 +23,8 @@
     let records = std::iter::once(node.record()).chain(node.peers());
     RosterView {
         balancers: Vec::new(),
-        agents: records.map(|record| agent(record, &known)).collect(),
+        agents: records
+            .map(|record| AgentView::of(record, &known))
+            .collect(),
     }
 }
--- a/arbutus-io/src/balancer.rs
+++ b/arbutus-io/src/balancer.rs
@@ -9,7 +9,7 @@
 mod outbound;
 mod shared;
 mod store_task;
-pub(crate) mod views;
+mod views;
 mod workers;
 
 pub use balancer_error::BalancerError;
