--- a/arbutus-agent/src/main.rs
+++ b/arbutus-agent/src/main.rs
@@ -14,6 +14,8 @@
         version: env!("CARGO_PKG_VERSION"),
         about: "Runs an agent of an arbutusstage deployment.",
         load: AgentSettings::load,
+        config_variable: None,
+        single_thread: false,
     };
     daemon::launch(&this, agent::run)
 }
--- a/arbutus-balancer/src/main.rs
+++ b/arbutus-balancer/src/main.rs
@@ -14,6 +14,8 @@
         version: env!("CARGO_PKG_VERSION"),
         about: "Runs a balancer of an arbutusstage deployment.",
         load: BalancerSettings::load,
+        config_variable: None,
+        single_thread: false,
     };
     daemon::launch(&this, balancer::run)
 }
--- a/arbutus-core/src/lib.rs
+++ b/arbutus-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ident;
 pub mod keys;
 pub mod membership;
+pub mod packet;
 pub mod quic;
 pub mod request;
 pub mod roster;
--- /dev/null
+++ b/arbutus-core/src/packet/backend_watch.rs
@@ -0,0 +1,168 @@
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use super::{BackendState, Heartbeat};
+use crate::time::Timestamp;
+
+/// What became of a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeartbeatOutcome {
+    /// It says something new.
+    Changed,
+    /// It says what was known.
+    Same,
+    /// A later one was heard before, or the sender has ended since.
+    Late,
+    /// It names another service or address than the agent's own.
+    NotOurs,
+}
+
+/// An agent's knowledge of its backend server.
+#[derive(Debug)]
+pub struct BackendWatch {
+    service: Arc<str>,
+    address: SocketAddrV4,
+    /// Age past which a heartbeat no longer admits new flows.
+    fresh_for: Duration,
+    last: Option<Heartbeat>,
+    heard_at: Timestamp,
+    /// Whether the sender of `last` has said goodbye.
+    left: bool,
+    /// When it was first given an opening segment that nothing was heard after.
+    asked_since: Option<Timestamp>,
+    /// When it was last given an opening segment.
+    asked_at: Timestamp,
+}
+
+impl BackendWatch {
+    /// Heartbeats that may be missing before a backend server gets no new flow.
+    const HEARTBEATS: u32 = 3;
+
+    /// How long a backend server may leave an opening segment unanswered before others are asked.
+    const UNRESPONSIVE: Duration = Duration::from_millis(120);
+
+    /// How often one that does not respond is tried again.
+    const RETRY: Duration = Duration::from_millis(500);
+
+    /// Makes the watch of the backend server of `service` at `address`.
+    #[must_use]
+    pub fn new(service: Arc<str>, address: SocketAddrV4, heartbeat: Duration) -> Self {
+        Self {
+            service,
+            address,
+            fresh_for: heartbeat * Self::HEARTBEATS,
+            last: None,
+            heard_at: Timestamp::ZERO,
+            left: false,
+            asked_since: None,
+            asked_at: Timestamp::ZERO,
+        }
+    }
+
+    /// Takes in a heartbeat.
+    pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Timestamp) -> HeartbeatOutcome {
+        if heartbeat.service != self.service || heartbeat.address != self.address {
+            return HeartbeatOutcome::NotOurs;
+        }
+        if self.is_late(&heartbeat) {
+            return HeartbeatOutcome::Late;
+        }
+        let before = self.state(now);
+        let same_start = self
+            .last
+            .as_ref()
+            .is_some_and(|it| same_start(it, &heartbeat));
+        self.last = Some(heartbeat);
+        self.heard_at = now;
+        self.left = false;
+        if same_start && before == self.state(now) {
+            HeartbeatOutcome::Same
+        } else {
+            HeartbeatOutcome::Changed
+        }
+    }
+
+    fn is_late(&self, heartbeat: &Heartbeat) -> bool {
+        let Some(last) = &self.last else {
+            return false;
+        };
+        if same_start(last, heartbeat) {
+            return self.left || heartbeat.sequence <= last.sequence;
+        }
+        heartbeat.born_ms < last.born_ms
+    }
+
+    /// Takes in that the backend server called `id` ends; gives `false` where another one runs.
+    pub fn on_goodbye(&mut self, id: &str) -> bool {
+        let ours = self.last.as_ref().is_some_and(|it| *it.id == *id);
+        if ours {
+            self.left = true;
+        }
+        ours
+    }
+
+    /// Notes that it is given an opening segment.
+    pub fn note_asked(&mut self, now: Timestamp) {
+        self.asked_since.get_or_insert(now);
+        self.asked_at = now;
+    }
+
+    /// Notes that it has sent something.
+    pub const fn note_heard(&mut self) {
+        self.asked_since = None;
+    }
+
+    /// What is known of it.
+    #[must_use]
+    pub fn state(&self, now: Timestamp) -> BackendState {
+        let Some(last) = &self.last else {
+            return BackendState::Unheard;
+        };
+        if self.left {
+            return BackendState::Left;
+        }
+        if last.draining {
+            return BackendState::Draining;
+        }
+        if now.since(self.heard_at) > self.fresh_for {
+            return BackendState::Unheard;
+        }
+        BackendState::Ready
+    }
+
+    /// Whether it may be given an opening segment now.
+    #[must_use]
+    pub fn takes_flows(&self, now: Timestamp) -> bool {
+        self.state(now) == BackendState::Ready
+            && (!self.is_unresponsive(now) || now.since(self.asked_at) >= Self::RETRY)
+    }
+
+    /// Whether it has left an opening segment unanswered.
+    #[must_use]
+    pub fn is_unresponsive(&self, now: Timestamp) -> bool {
+        self.asked_since
+            .is_some_and(|since| now.since(since) >= Self::UNRESPONSIVE)
+    }
+
+    /// Its last heartbeat.
+    #[must_use]
+    pub const fn last(&self) -> Option<&Heartbeat> {
+        self.last.as_ref()
+    }
+
+    /// Age of its last heartbeat.
+    #[must_use]
+    pub fn heartbeat_age(&self, now: Timestamp) -> Option<Duration> {
+        self.last.as_ref().map(|_| now.since(self.heard_at))
+    }
+
+    /// How much longer it is slow after its start.
+    #[must_use]
+    pub fn warmup_left(&self, now: Timestamp) -> Duration {
+        let left = self.last.as_ref().map_or(Duration::ZERO, |it| it.warmup);
+        left.saturating_sub(now.since(self.heard_at))
+    }
+}
+
+fn same_start(a: &Heartbeat, b: &Heartbeat) -> bool {
+    a.id == b.id && a.born_ms == b.born_ms
+}
--- /dev/null
+++ b/arbutus-core/src/packet/flow_holder.rs
@@ -0,0 +1,386 @@
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+
+use super::{
+    AgentReport, AgentStatus, BackendState, BackendWatch, FlowId, Heartbeat, HeartbeatOutcome,
+    HolderAction, HolderDrop, Refused, RelayHeader, Segment,
+    balancer_links::BalancerLinks,
+    held_flow::{HeldFlow, Phase},
+};
+use crate::{
+    config::ConfigVersion,
+    ident::{Incarnation, ServiceTag},
+    time::Timestamp,
+};
+
+/// What distinguishes one agent from another.
+#[derive(Debug, Clone)]
+pub struct HolderSettings {
+    /// Where the agent takes relayed packets.
+    pub agent: SocketAddrV4,
+    /// The service that the agent is for.
+    pub service: Arc<str>,
+    /// Where its backend server takes packets.
+    pub backend: SocketAddrV4,
+    /// The agent's failure domain.
+    pub failure_domain: Arc<str>,
+    /// Its life at its address: its start, in milliseconds since the Unix epoch.
+    pub incarnation: Incarnation,
+    /// Time between two heartbeats of the backend server.
+    pub heartbeat: Duration,
+    /// Age past which an idle flow is forgotten.
+    pub idle: Duration,
+}
+
+/// An agent's decisions on packets, and its authority over its backend server.
+///
+/// The agent sees every packet that its backend server gets or sends, so that it knows the flows
+/// that the backend server holds; an agent that started after its backend server does not, and
+/// lets the backend server decide once nobody else holds the flow.
+#[derive(Debug)]
+pub struct FlowHolder {
+    settings: HolderSettings,
+    tag: ServiceTag,
+    backend: BackendWatch,
+    flows: IndexMap<FlowId, HeldFlow>,
+    /// Headers of packets that the backend server may turn away.
+    under_way: IndexMap<FlowId, UnderWay>,
+    links: BalancerLinks,
+    sequence: u32,
+    stopping: bool,
+    config: ConfigVersion,
+    config_source: Option<SocketAddrV4>,
+}
+
+/// A packet that was given to the backend server, which may turn it away.
+#[derive(Debug)]
+struct UnderWay {
+    header: RelayHeader,
+    at: Timestamp,
+}
+
+impl FlowHolder {
+    /// How long the backend server may take to turn a packet away.
+    const UNDER_WAY: Duration = Duration::from_secs(2);
+
+    /// Most flows that are known: some 16 MB.
+    const MAX_FLOWS: usize = 65_536;
+
+    /// Makes an agent that knows nothing of its backend server.
+    #[must_use]
+    pub fn new(settings: HolderSettings) -> Self {
+        let backend = BackendWatch::new(
+            settings.service.clone(),
+            settings.backend,
+            settings.heartbeat,
+        );
+        Self {
+            tag: ServiceTag::of_name(&settings.service),
+            settings,
+            backend,
+            flows: IndexMap::new(),
+            under_way: IndexMap::new(),
+            links: BalancerLinks::default(),
+            sequence: 0,
+            stopping: false,
+            config: ConfigVersion::NONE,
+            config_source: None,
+        }
+    }
+
+    /// Decides on a packet of a caller that was relayed here.
+    pub fn on_relayed(
+        &mut self,
+        header: RelayHeader,
+        segment: &Segment,
+        now: Timestamp,
+    ) -> HolderAction {
+        self.links.note(header.balancer, now);
+        if header.config > self.config {
+            self.config = header.config;
+            self.config_source = Some(header.balancer);
+        }
+        if segment.is_opening() {
+            self.on_opening(header, segment, now)
+        } else {
+            self.on_later(header, segment, now)
+        }
+    }
+
+    fn on_opening(
+        &mut self,
+        header: RelayHeader,
+        segment: &Segment,
+        now: Timestamp,
+    ) -> HolderAction {
+        let held = self.flows.get(&segment.flow).copied();
+        let copy = held.filter(|it| it.ended_at.is_none());
+        if copy.is_none() {
+            if let Some(reason) = self.refuses(&header, now) {
+                return pass_on(header, reason);
+            }
+            self.make_room();
+            let flow = HeldFlow::new(Phase::Asked, now);
+            self.flows.insert(segment.flow, flow);
+        }
+        self.backend.note_asked(now);
+        let tell = tell(&header);
+        self.note_under_way(header, segment.flow, now);
+        HolderAction::ToBackend {
+            tell,
+            admitted: copy.is_none(),
+        }
+    }
+
+    /// Why a new flow is not taken.
+    fn refuses(&self, header: &RelayHeader, now: Timestamp) -> Option<Refused> {
+        if header.services.first() != Some(&self.tag) {
+            return Some(Refused::OtherService);
+        }
+        if self.stopping {
+            return Some(Refused::Stopping);
+        }
+        if self.backend.state(now) != BackendState::Ready {
+            return Some(Refused::NotReady);
+        }
+        if !self.backend.takes_flows(now) {
+            return Some(Refused::Unresponsive);
+        }
+        None
+    }
+
+    fn on_later(&mut self, header: RelayHeader, segment: &Segment, now: Timestamp) -> HolderAction {
+        if !header.services.contains(&self.tag) {
+            return pass_on(header, Refused::OtherService);
+        }
+        let Some(held) = self.flows.get_mut(&segment.flow) else {
+            return self.on_unknown(header, segment, now);
+        };
+        if !held.confirms(segment) {
+            return pass_on(header, Refused::OtherStream);
+        }
+        held.from_caller(segment, now);
+        let tell = tell(&header);
+        self.note_under_way(header, segment.flow, now);
+        HolderAction::ToBackend {
+            tell,
+            admitted: false,
+        }
+    }
+
+    fn on_unknown(
+        &mut self,
+        mut header: RelayHeader,
+        segment: &Segment,
+        now: Timestamp,
+    ) -> HolderAction {
+        if self.knows_all_flows() {
+            return pass_on(header, Refused::NotHeld);
+        }
+        if !header.is_second_round() {
+            header.mark();
+            return pass_on(header, Refused::Unsure);
+        }
+        self.note_under_way(header, segment.flow, now);
+        HolderAction::ToBackend {
+            tell: None,
+            admitted: false,
+        }
+    }
+
+    /// Decides on a packet that the backend server sent to a caller.
+    pub fn on_backend_packet(&mut self, segment: &Segment, now: Timestamp) -> HolderAction {
+        self.backend.note_heard();
+        if !self.flows.contains_key(&segment.flow) {
+            self.make_room();
+        }
+        let phase = if segment.is_accepting() {
+            Phase::Asked
+        } else {
+            Phase::Open
+        };
+        let held = self.flows.entry(segment.flow);
+        let held = held.or_insert_with(|| HeldFlow::new(phase, now));
+        let answered_after = held.from_backend(segment, now);
+        HolderAction::ToCaller { answered_after }
+    }
+
+    /// Decides on a caller's packet that the backend server turned away.
+    pub fn on_bounced(&mut self, segment: &Segment, now: Timestamp) -> HolderAction {
+        self.backend.note_heard();
+        let under_way = self.under_way.swap_remove(&segment.flow);
+        let held = self.flows.get(&segment.flow).copied();
+        if segment.is_opening() {
+            if held.is_some_and(|it| it.phase == Phase::Asked) {
+                self.flows.swap_remove(&segment.flow);
+            }
+        } else if let Some(held) = held {
+            self.flows.swap_remove(&segment.flow);
+            if held.is_open() {
+                // The backend server held the flow and no longer does: it has started anew.
+                return HolderAction::Reset {
+                    flow: segment.flow,
+                    caller_has: segment.acknowledged,
+                };
+            }
+        }
+        match under_way {
+            Some(it) if now.since(it.at) < Self::UNDER_WAY => pass_on(it.header, Refused::Bounced),
+            _ => HolderAction::Drop(HolderDrop::UnknownBounce),
+        }
+    }
+
+    /// Takes in a heartbeat of the backend server.
+    pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Timestamp) -> HeartbeatOutcome {
+        let outcome = self.backend.on_heartbeat(heartbeat, now);
+        if outcome == HeartbeatOutcome::Changed {
+            self.links.owe_all(now);
+        }
+        outcome
+    }
+
+    /// Takes in that the backend server called `id` ends; gives `false` where another one runs.
+    pub fn on_goodbye(&mut self, id: &str, now: Timestamp) -> bool {
+        let ours = self.backend.on_goodbye(id);
+        if ours {
+            self.links.owe_all(now);
+        }
+        ours
+    }
+
+    /// Gives up every open flow, once the backend server has ended, so that callers need not wait
+    /// for it.
+    pub fn give_up_flows(&mut self) -> Vec<HolderAction> {
+        let flows = std::mem::take(&mut self.flows);
+        flows
+            .into_iter()
+            .filter(|(_, held)| held.is_open())
+            .map(|(flow, held)| HolderAction::Reset {
+                flow,
+                caller_has: held.caller_has,
+            })
+            .collect()
+    }
+
+    /// Takes no new flow from now on.
+    pub fn stop(&mut self, now: Timestamp) {
+        self.stopping = true;
+        self.links.owe_all(now);
+    }
+
+    /// Notes that a balancer has asked for a report.
+    pub fn on_probe(&mut self, balancer: SocketAddrV4, now: Timestamp) {
+        self.links.note(balancer, now);
+    }
+
+    /// Whether some balancer waits for a report.
+    #[must_use]
+    pub fn owes_reports(&self) -> bool {
+        self.links.any_owed()
+    }
+
+    /// A report and the balancers that are to get it now.
+    pub fn report(&mut self, now: Timestamp) -> (AgentReport, Vec<SocketAddrV4>) {
+        (self.introduction(now), self.links.take_owed())
+    }
+
+    /// A report for balancers that need not know the agent yet.
+    pub fn introduction(&mut self, now: Timestamp) -> AgentReport {
+        self.sequence = self.sequence.saturating_add(1);
+        self.present_report(now)
+    }
+
+    fn present_report(&self, now: Timestamp) -> AgentReport {
+        let open = self.flows.values().filter(|it| it.ended_at.is_none());
+        let waiting = self.flows.values().filter(|it| it.waiting_since.is_some());
+        AgentReport {
+            agent: self.settings.agent,
+            service: self.tag,
+            failure_domain: self.settings.failure_domain.clone(),
+            incarnation: self.settings.incarnation,
+            sequence: self.sequence,
+            status: self.status(now),
+            slots: self.backend.last().map_or(1, |it| it.slots),
+            flows: count(open.count()),
+            waiting: count(waiting.count()),
+            warmup_ms: u32::try_from(self.backend.warmup_left(now).as_millis()).unwrap_or(u32::MAX),
+            config: self.config,
+            config_source: self.config_source,
+        }
+    }
+
+    /// What balancers are told.
+    #[must_use]
+    pub fn status(&self, now: Timestamp) -> AgentStatus {
+        match self.backend.state(now) {
+            BackendState::Left => AgentStatus::Ended,
+            _ if self.stopping => AgentStatus::Draining,
+            BackendState::Draining => AgentStatus::Draining,
+            BackendState::Unheard => AgentStatus::Waiting,
+            BackendState::Ready if self.backend.is_unresponsive(now) => AgentStatus::Waiting,
+            BackendState::Ready => AgentStatus::Ready,
+        }
+    }
+
+    /// Forgets flows that are over.
+    pub fn expire(&mut self, now: Timestamp) {
+        let idle = self.settings.idle;
+        self.flows.retain(|_, it| !it.is_over(idle, now));
+        self.under_way
+            .retain(|_, it| now.since(it.at) < Self::UNDER_WAY);
+    }
+
+    /// What is known of the backend server.
+    #[must_use]
+    pub const fn backend(&self) -> &BackendWatch {
+        &self.backend
+    }
+
+    /// How many flows are held.
+    #[must_use]
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// How many balancers are known.
+    #[must_use]
+    pub fn balancer_count(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Whether every flow of the backend server was opened through this process.
+    fn knows_all_flows(&self) -> bool {
+        let own_start = self.settings.incarnation.get();
+        match self.backend.last() {
+            Some(heartbeat) => heartbeat.born_ms >= own_start,
+            None => false,
+        }
+    }
+
+    fn note_under_way(&mut self, header: RelayHeader, flow: FlowId, now: Timestamp) {
+        self.under_way.insert(flow, UnderWay { header, at: now });
+    }
+
+    fn make_room(&mut self) {
+        if self.flows.len() >= Self::MAX_FLOWS {
+            self.flows.swap_remove_index(0);
+        }
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+/// The balancer that does not know yet that the flow is here.
+fn tell(header: &RelayHeader) -> Option<SocketAddrV4> {
+    (!header.known || header.hops() > 0).then_some(header.balancer)
+}
+
+fn pass_on(mut header: RelayHeader, reason: Refused) -> HolderAction {
+    match header.advance() {
+        Some(_) => HolderAction::PassOn { header, reason },
+        None => HolderAction::Drop(HolderDrop::NobodyLeft(reason)),
+    }
+}
--- /dev/null
+++ b/arbutus-core/src/packet/holder_action.rs
@@ -0,0 +1,94 @@
+use std::{net::SocketAddrV4, time::Duration};
+
+use super::{FlowId, RelayHeader};
+
+/// What an agent does with a packet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HolderAction {
+    /// Give it to the backend server.
+    ToBackend {
+        /// Set where a balancer does not know that the flow is here.
+        tell: Option<SocketAddrV4>,
+        /// Whether the flow is new here.
+        admitted: bool,
+    },
+    /// Send it on to the header's present candidate.
+    PassOn {
+        /// What goes ahead of the packet.
+        header: RelayHeader,
+        /// Why it does not stay.
+        reason: Refused,
+    },
+    /// Send it to its caller.
+    ToCaller {
+        /// How long the caller has waited, where this is the first of an answer.
+        answered_after: Option<Duration>,
+    },
+    /// Tell the caller that the flow is gone.
+    Reset {
+        /// The flow.
+        flow: FlowId,
+        /// The position up to which the caller has the backend server's stream.
+        caller_has: u32,
+    },
+    /// Nobody gets it.
+    Drop(HolderDrop),
+}
+
+/// Why a packet does not stay at an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Refused {
+    /// The flow is not held here.
+    NotHeld,
+    /// The backend server drains, has ended, or was not heard.
+    NotReady,
+    /// The backend server does not answer opening segments.
+    Unresponsive,
+    /// The agent stops.
+    Stopping,
+    /// The route does not lead to the agent's service.
+    OtherService,
+    /// The backend server turned the packet away.
+    Bounced,
+    /// Whether the flow is held is not known; others are asked first.
+    Unsure,
+    /// The caller confirmed another backend server.
+    OtherStream,
+}
+
+/// Why an agent drops a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum HolderDrop {
+    /// No candidate is left, for this reason here.
+    NobodyLeft(Refused),
+    /// The backend server turned away a packet that came from nobody.
+    UnknownBounce,
+}
+
+impl Refused {
+    /// The reason as metrics and logs name it.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotHeld => "not-held",
+            Self::NotReady => "not-ready",
+            Self::Unresponsive => "unresponsive",
+            Self::Stopping => "stopping",
+            Self::OtherService => "other-service",
+            Self::Bounced => "bounced",
+            Self::Unsure => "unsure",
+            Self::OtherStream => "other-stream",
+        }
+    }
+}
+
+impl HolderDrop {
+    /// The reason as metrics and logs name it.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NobodyLeft(_) => "nobody-left",
+            Self::UnknownBounce => "unknown-bounce",
+        }
+    }
+}
--- /dev/null
+++ b/arbutus-core/src/packet/steering.rs
@@ -0,0 +1,357 @@
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use super::{
+    AgentListing, AgentReport, Choice, FlowId, MemberChange, PacketConfig, PacketRoute,
+    PeerSnapshot, RelayHeader, Segment, Steer, SteerDrop,
+    flow_cache::{CachedFlow, FlowCache},
+    member::Member,
+    member_table::MemberTable,
+    placement::Placement,
+};
+use crate::{config::ConfigVersion, time::Timestamp};
+
+/// What distinguishes one balancer from another.
+#[derive(Debug, Clone)]
+pub struct SteeringSettings {
+    /// Where agents send what they have to say.
+    pub balancer: SocketAddrV4,
+    /// The balancer's failure domain.
+    pub failure_domain: Arc<str>,
+    /// What an agent in another failure domain costs a new flow, in flows for each slot.
+    pub far_cost: f64,
+}
+
+/// A balancer's decisions on packets whose flows name no owner.
+///
+/// Nothing that it knows is needed for an open flow to reach its agent: a balancer that has just
+/// started sends packets along the candidates, and agents tell it where the flows are.
+#[derive(Debug)]
+pub struct Steering {
+    settings: SteeringSettings,
+    /// Its version never falls.
+    config: Option<PacketConfig>,
+    members: MemberTable,
+    flows: FlowCache,
+    /// A configuration that others have; always newer than `config`.
+    missed: Option<MissedConfig>,
+}
+
+/// A configuration that some balancer has and this one has not.
+#[derive(Debug, Clone, Copy)]
+struct MissedConfig {
+    version: ConfigVersion,
+    holder: SocketAddrV4,
+    /// When the holder may be asked for it.
+    ask_at: Timestamp,
+}
+
+impl Steering {
+    /// How long an agent may leave datagrams unanswered before others are asked first.
+    ///
+    /// Three reports of an agent that has packets, and the way there and back.
+    pub const SILENCE: Duration = Duration::from_millis(700);
+
+    /// Silence of every agent that was sent something, after which the balancer takes itself for
+    /// cut off.
+    const ISOLATION: Duration = Duration::from_millis(900);
+
+    /// How long an agent that no store lists is kept after it was last heard.
+    const UNLISTED: Duration = Duration::from_secs(4);
+
+    /// How long nothing may be heard of an agent before it is asked for a report.
+    const QUIET: Duration = Duration::from_millis(1_500);
+
+    /// Most agents that are asked at one time.
+    const PROBES: usize = 16;
+
+    /// How long a copy of an opening segment follows the first one whatever becomes of the agent.
+    const COPY_FOLLOWS: Duration = Duration::from_millis(150);
+
+    /// How long the store gets to bring a configuration that others have, and pause between two
+    /// questions.
+    const MISSED_CONFIG: Duration = Duration::from_millis(400);
+
+    /// How long flows are remembered while no configuration says otherwise.
+    const IDLE: Duration = Duration::from_secs(15);
+
+    /// Makes a balancer that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: SteeringSettings) -> Self {
+        Self {
+            settings,
+            config: None,
+            members: MemberTable::default(),
+            flows: FlowCache::default(),
+            missed: None,
+        }
+    }
+
+    /// Decides on a packet of a caller.
+    pub fn on_packet(&mut self, segment: &Segment, now: Timestamp) -> Steer {
+        if segment.is_accepting() {
+            return Steer::Drop(SteerDrop::NotACaller);
+        }
+        let Some(config) = &self.config else {
+            return Steer::Drop(SteerDrop::NoConfig);
+        };
+        let Some(route) = config.routes.get(&segment.flow.service) else {
+            return Steer::Drop(SteerDrop::NoRoute);
+        };
+        let (version, route) = (config.version, route.clone());
+        let steer = if segment.is_opening() {
+            self.on_opening(segment, &route, now)
+        } else {
+            self.on_open_flow(segment, &route, now)
+        };
+        self.sent(steer, version, now)
+    }
+
+    fn on_opening(&mut self, segment: &Segment, route: &PacketRoute, now: Timestamp) -> Steer {
+        let hash = segment.flow.hash();
+        let Some(target) = route.target(hash) else {
+            return Steer::Drop(SteerDrop::NoAgent);
+        };
+        let placement = self.placement(now);
+        let scored = placement.for_opening(hash, target);
+        let cached = self.flows.get(&segment.flow, now);
+        let follows = cached.filter(|it| self.copy_follows(it, now));
+        let first = follows.map(|it| it.agent);
+        let order = first.into_iter().chain(scored.iter().map(|it| it.agent));
+        let header = RelayHeader::new(self.settings.balancer, order)
+            .allowed(ConfigVersion::NONE, vec![target.tag])
+            .known(cached.is_some_and(|it| it.confirmed));
+        let Some(agent) = header.target() else {
+            return Steer::Drop(SteerDrop::NoAgent);
+        };
+        if first.is_some() {
+            return Steer::Relay {
+                header,
+                placed: None,
+                searched: false,
+            };
+        }
+        let best = scored.first();
+        let choice = Choice {
+            route: route.name.clone(),
+            service: target.name.clone(),
+            agent,
+            score: best.map_or(0.0, |it| it.score),
+            weighed: scored.len(),
+            report_age: best.and_then(|it| it.report_age),
+        };
+        self.flows.place(segment.flow, agent, now);
+        if let Some(member) = self.members.get_mut(agent) {
+            member.placed = member.placed.saturating_add(1);
+        }
+        Steer::Relay {
+            header,
+            placed: Some(choice),
+            searched: false,
+        }
+    }
+
+    /// Whether a copy of an opening segment goes where the first one went.
+    fn copy_follows(&self, cached: &CachedFlow, now: Timestamp) -> bool {
+        if cached.confirmed || now.since(cached.placed_at) < Self::COPY_FOLLOWS {
+            return true;
+        }
+        let heard = self.members.get(cached.agent);
+        heard.is_some_and(|it| it.takes_flows() && !it.is_silent(Self::COPY_FOLLOWS, now))
+    }
+
+    fn on_open_flow(&mut self, segment: &Segment, route: &PacketRoute, now: Timestamp) -> Steer {
+        let cached = self.flows.get(&segment.flow, now);
+        let placement = self.placement(now);
+        let likely = placement.for_open_flow(segment.flow.hash(), &route.targets);
+        let first = cached.map(|it| it.agent);
+        let header = RelayHeader::new(self.settings.balancer, first.into_iter().chain(likely))
+            .allowed(
+                ConfigVersion::NONE,
+                route.targets.iter().map(|it| it.tag).collect(),
+            )
+            .known(cached.is_some_and(|it| it.confirmed));
+        if header.target().is_none() {
+            return Steer::Drop(SteerDrop::NoAgent);
+        }
+        Steer::Relay {
+            header,
+            placed: None,
+            searched: cached.is_none(),
+        }
+    }
+
+    /// Notes what is about to be sent.
+    fn sent(&mut self, steer: Steer, version: ConfigVersion, now: Timestamp) -> Steer {
+        match steer {
+            Steer::Relay {
+                header,
+                placed,
+                searched,
+            } => {
+                let agent = header.target();
+                if let Some(member) = agent.and_then(|it| self.members.get_mut(it)) {
+                    member.note_sent(now);
+                }
+                let services = header.services.clone();
+                Steer::Relay {
+                    header: header.allowed(version, services),
+                    placed,
+                    searched,
+                }
+            }
+            Steer::Drop(reason) => Steer::Drop(reason),
+        }
+    }
+
+    fn placement(&self, now: Timestamp) -> Placement<'_> {
+        Placement {
+            members: &self.members,
+            failure_domain: &self.settings.failure_domain,
+            far_cost: self.settings.far_cost,
+            now,
+        }
+    }
+
+    /// Takes in a configuration; gives `false` where it is not newer than the present one.
+    pub fn on_config(&mut self, config: PacketConfig) -> bool {
+        if config.version <= self.config_version() {
+            return false;
+        }
+        self.config = Some(config);
+        self.missed = None;
+        true
+    }
+
+    /// Whether it is time to ask another balancer for a configuration.
+    #[must_use]
+    pub fn has_missed_config(&self, now: Timestamp) -> bool {
+        self.missed.is_some_and(|it| it.ask_at <= now)
+    }
+
+    /// Whether a configuration is in force.
+    #[must_use]
+    pub const fn has_config(&self) -> bool {
+        self.config.is_some()
+    }
+
+    /// The balancer to ask for a configuration that the store has not brought, if it is time.
+    pub fn config_to_fetch(&mut self, now: Timestamp) -> Option<SocketAddrV4> {
+        let missed = self.missed.as_mut().filter(|it| it.ask_at <= now)?;
+        missed.ask_at = now + Self::MISSED_CONFIG;
+        Some(missed.holder)
+    }
+
+    fn note_missed(&mut self, report: &AgentReport, now: Timestamp) {
+        let Some(holder) = report.config_source else {
+            return;
+        };
+        let known = self.missed.map_or(self.config_version(), |it| it.version);
+        if report.config > known {
+            let ask_at = now + Self::MISSED_CONFIG;
+            self.missed = Some(MissedConfig {
+                version: report.config,
+                holder,
+                ask_at: self.missed.map_or(ask_at, |it| it.ask_at),
+            });
+        }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config
+            .as_ref()
+            .map_or(ConfigVersion::NONE, |it| it.version)
+    }
+
+    /// Takes in that the store lists an agent.
+    pub fn on_listed(&mut self, listing: &AgentListing, now: Timestamp) -> MemberChange {
+        self.members.list(listing, now)
+    }
+
+    /// Takes in that the store no longer lists an agent.
+    pub fn on_unlisted(&mut self, agent: SocketAddrV4) -> MemberChange {
+        self.members.unlist(agent)
+    }
+
+    /// Takes in that the store lists exactly these agents.
+    pub fn on_listing(&mut self, listings: &[AgentListing], now: Timestamp) {
+        for member in self.members.iter_mut() {
+            member.listed = false;
+        }
+        for listing in listings {
+            self.members.list(listing, now);
+        }
+    }
+
+    /// Takes in an agent's own word.
+    pub fn on_report(&mut self, report: AgentReport, now: Timestamp) -> MemberChange {
+        self.note_missed(&report, now);
+        self.members.report(report, now)
+    }
+
+    /// Takes in that an agent holds a flow.
+    pub fn on_holding(&mut self, agent: SocketAddrV4, flow: FlowId, now: Timestamp) {
+        self.flows.confirm(flow, agent, now);
+    }
+
+    /// Agents to ask for a report now; call it a few times a second.
+    pub fn probes(&mut self, now: Timestamp) -> Vec<SocketAddrV4> {
+        let quiet = self
+            .members
+            .iter_mut()
+            .filter(|it| it.quiet_for(now) >= Self::QUIET)
+            .take(Self::PROBES);
+        quiet
+            .map(|member| {
+                member.note_sent(now);
+                member.agent
+            })
+            .collect()
+    }
+
+    /// Forgets what is too old, and gives the agents that are no longer known.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<SocketAddrV4> {
+        let idle = self
+            .config
+            .as_ref()
+            .map_or(Self::IDLE, |it| it.idle_timeout);
+        self.flows.expire(idle, now);
+        self.members.expire(Self::UNLISTED, now)
+    }
+
+    /// Whether no agent answers, so that callers are better served by other balancers.
+    #[must_use]
+    pub fn is_isolated(&self, now: Timestamp) -> bool {
+        let mut silent = 0_usize;
+        for member in self.members.iter() {
+            if member.quiet_for(now) < Self::ISOLATION {
+                return false;
+            }
+            silent += usize::from(member.is_silent(Self::ISOLATION, now));
+        }
+        // One agent alone may have ended by itself.
+        silent >= 2
+    }
+
+    /// What a balancer that cannot reach the store may start from.
+    #[must_use]
+    pub fn snapshot(&self) -> PeerSnapshot {
+        PeerSnapshot {
+            config: self.config.clone(),
+            agents: self.members.iter().map(Member::listing).collect(),
+        }
+    }
+
+    /// How many agents are known.
+    #[must_use]
+    pub fn member_count(&self) -> usize {
+        self.members.len()
+    }
+
+    /// How many flows are remembered.
+    #[must_use]
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+}
--- a/arbutus-core/src/route.rs
+++ b/arbutus-core/src/route.rs
@@ -62,6 +62,7 @@
 pub use drop_reason::DropReason;
 pub use forward::{Forward, Hop, forward};
 pub use rendezvous::flow_hash;
+pub(crate) use rendezvous::{agent_seed, rendezvous_rank};
 pub use route_agent::RouteAgent;
 pub use route_table::RouteTable;
 pub use service_route::ServiceRoute;
--- a/arbutus-core/src/route/rendezvous.rs
+++ b/arbutus-core/src/route/rendezvous.rs
@@ -19,20 +19,25 @@
 }
 
 /// The part of an agent in the hash of a flow and an agent.
-pub(super) fn agent_seed(tunnel: SocketAddrV4) -> u64 {
+pub(crate) fn agent_seed(tunnel: SocketAddrV4) -> u64 {
     let mut hasher = SipHasher24::new();
     hasher.write(&tunnel.ip().octets());
     hasher.write(&tunnel.port().to_be_bytes());
     hasher.finish()
 }
 
+/// The rank of an agent for a flow among agents of equal weight, higher for the better.
+pub(crate) const fn rendezvous_rank(flow: u64, seed: u64) -> u64 {
+    mix(flow ^ seed)
+}
+
 /// The best agents for a flow, best first.
 ///
 /// Agents of equal weight are compared by their hash alone, which gives the order that weights
 /// would give too.
 pub(super) fn best(flow: u64, agents: &[RouteAgent], uniform: bool) -> Candidates {
     if uniform {
-        return select(agents, |agent| mix(flow ^ agent.seed));
+        return select(agents, |agent| rendezvous_rank(flow, agent.seed));
     }
     select(agents, |agent| weighted_rank(flow, agent))
 }
--- a/arbutus-io/src/admin/admin_state.rs
+++ b/arbutus-io/src/admin/admin_state.rs
@@ -1,14 +1,14 @@
 use std::sync::Arc;
 
-use parking_lot::Mutex;
 use prometheus_client::registry::Registry;
 
 use super::views::{ConfigView, RosterView};
+use crate::http::MetricsPage;
 
 /// What the admin port shows; the closures are called at each request.
 #[derive(Clone)]
 pub struct AdminState {
-    registry: Arc<Mutex<Registry>>,
+    metrics: MetricsPage,
     config: Arc<dyn Fn() -> ConfigView + Send + Sync>,
     roster: Arc<dyn Fn() -> RosterView + Send + Sync>,
 }
@@ -22,7 +22,7 @@
         roster: impl Fn() -> RosterView + Send + Sync + 'static,
     ) -> Self {
         Self {
-            registry: Arc::new(Mutex::new(registry)),
+            metrics: MetricsPage::new(registry),
             config: Arc::new(config),
             roster: Arc::new(roster),
         }
@@ -31,13 +31,7 @@
     /// The metrics as `OpenMetrics` text.
     #[must_use]
     pub fn metrics(&self) -> String {
-        let mut text = String::new();
-        if let Err(err) =
-            prometheus_client::encoding::text::encode(&mut text, &self.registry.lock())
-        {
-            tracing::warn!(%err, "metrics_encoding_failed");
-        }
-        text
+        self.metrics.text()
     }
 
     /// The body of `/config`.
--- a/arbutus-io/src/daemon.rs
+++ b/arbutus-io/src/daemon.rs
@@ -3,4 +3,4 @@
 mod command;
 mod launch;
 
-pub use launch::{Daemon, launch};
+pub use launch::{Daemon, launch, launch_with};
--- a/arbutus-io/src/daemon/command.rs
+++ b/arbutus-io/src/daemon/command.rs
@@ -16,13 +16,15 @@
 }
 
 impl Command {
-    /// Reads the command line.
+    /// Reads the command line; `config` is the settings file where it names none.
     ///
     /// # Errors
     ///
     /// Fails on an unknown argument, or where the settings file is missing.
-    pub(super) fn parse(mut parser: Parser) -> Result<Self, lexopt::Error> {
-        let mut config = None;
+    pub(super) fn parse(
+        mut parser: Parser,
+        mut config: Option<PathBuf>,
+    ) -> Result<Self, lexopt::Error> {
         let mut check = false;
         while let Some(arg) = parser.next()? {
             match arg {
--- /dev/null
+++ b/arbutus-io/src/http/call.rs
@@ -0,0 +1,13 @@
+use bytes::Bytes;
+use http::Method;
+
+/// A call that a server has got.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path, without the query.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+}
--- /dev/null
+++ b/arbutus-io/src/metrics/packet_balancer_metrics.rs
@@ -0,0 +1,102 @@
+use prometheus_client::{
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+use super::ReasonLabel;
+
+/// What a balancer of packet flows counts.
+#[derive(Debug, Clone)]
+pub struct PacketBalancerMetrics {
+    /// Packets sent to agents.
+    pub relayed: Counter,
+    /// New flows placed.
+    pub placed: Counter,
+    /// Packets of open flows about which nothing was known.
+    pub searched: Counter,
+    /// Packets dropped, by reason.
+    pub dropped: Family<ReasonLabel, Counter>,
+    /// Datagrams that the kernel did not take.
+    pub send_failed: Counter,
+    /// Agents known.
+    pub agents: Gauge,
+    /// Flows remembered.
+    pub flows: Gauge,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    /// Calls to the store that failed.
+    pub store_failures: Counter,
+    /// Time that a store call took, in seconds.
+    pub store_seconds: Histogram,
+}
+
+impl PacketBalancerMetrics {
+    /// Makes metrics that stand at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            relayed: Counter::default(),
+            placed: Counter::default(),
+            searched: Counter::default(),
+            dropped: Family::default(),
+            send_failed: Counter::default(),
+            agents: Gauge::default(),
+            flows: Gauge::default(),
+            config_version: Gauge::default(),
+            store_failures: Counter::default(),
+            store_seconds: Histogram::new(super::STORE_BUCKETS_S),
+        }
+    }
+
+    /// Adds the metrics to `registry`.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "arbutus_relayed_packets",
+            "Packets sent to agents",
+            self.relayed.clone(),
+        );
+        registry.register(
+            "arbutus_placed_flows",
+            "New flows placed",
+            self.placed.clone(),
+        );
+        registry.register(
+            "arbutus_searched_packets",
+            "Packets of open flows about which nothing was known",
+            self.searched.clone(),
+        );
+        registry.register(
+            "arbutus_dropped_packets",
+            "Packets dropped",
+            self.dropped.clone(),
+        );
+        registry.register(
+            "arbutus_send_failures",
+            "Datagrams that the kernel did not take",
+            self.send_failed.clone(),
+        );
+        registry.register("arbutus_agents", "Agents known", self.agents.clone());
+        registry.register("arbutus_flows", "Flows remembered", self.flows.clone());
+        registry.register(
+            "arbutus_config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+        registry.register(
+            "arbutus_store_failures",
+            "Calls to the store that failed",
+            self.store_failures.clone(),
+        );
+        registry.register(
+            "arbutus_store_seconds",
+            "Time that a store call took",
+            self.store_seconds.clone(),
+        );
+    }
+}
+
+impl Default for PacketBalancerMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/arbutus-io/src/packet/agent.rs
@@ -0,0 +1,406 @@
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use arbutus_core::{
+    packet::{
+        AgentReport, FlowHolder, Heartbeat, HeartbeatOutcome, HolderAction, HolderDrop,
+        HolderSettings, Message, Refused, RelayHeader, Segment,
+    },
+    time::Timestamp,
+};
+use parking_lot::Mutex;
+use tokio::time::{self, MissedTickBehavior};
+
+use super::{PacketCodec, PacketSocket};
+use crate::{
+    clock,
+    metrics::{PacketAgentMetrics, ReasonLabel},
+    telemetry::LineBudget,
+};
+
+/// The sockets of an agent of packet flows.
+#[derive(Debug)]
+pub struct AgentSockets {
+    /// Where relayed packets come in, and where they are sent on.
+    pub peers: PacketSocket,
+    /// Where the backend server's packets come in, and where it gets its own from.
+    pub backend: PacketSocket,
+}
+
+/// An agent of packet flows.
+#[derive(Debug)]
+pub struct PacketAgent<C> {
+    settings: HolderSettings,
+    codec: C,
+    metrics: PacketAgentMetrics,
+    sockets: AgentSockets,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    holder: FlowHolder,
+    flow_lines: LineBudget,
+    request_lines: LineBudget,
+}
+
+impl<C: PacketCodec> PacketAgent<C> {
+    /// Time between two reports to a balancer that has packets for the agent.
+    const REPORT: Duration = Duration::from_millis(200);
+
+    /// Most lines of each kind in a second.
+    const LINES_PER_S: u32 = 100;
+
+    /// Makes an agent that knows nothing of its backend server.
+    #[must_use]
+    pub fn new(
+        settings: HolderSettings,
+        codec: C,
+        metrics: PacketAgentMetrics,
+        sockets: AgentSockets,
+    ) -> Arc<Self> {
+        let state = State {
+            holder: FlowHolder::new(settings.clone()),
+            flow_lines: LineBudget::new(Self::LINES_PER_S),
+            request_lines: LineBudget::new(Self::LINES_PER_S),
+        };
+        Arc::new(Self {
+            settings,
+            codec,
+            metrics,
+            sockets,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Forwards packets until the process ends.
+    pub async fn run(self: Arc<Self>) {
+        let mut buf = [0; PacketSocket::MAX_DATAGRAM];
+        let mut tick = time::interval(Self::REPORT);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = self.sockets.backend.readable() => self.take_backend_packets(&mut buf),
+                () = self.sockets.peers.readable() => self.take_messages(&mut buf),
+                _ = tick.tick() => self.on_tick(),
+            }
+        }
+    }
+
+    fn take_messages(&self, buf: &mut [u8]) {
+        for _ in 0..PacketSocket::BATCH {
+            let Some(bytes) = self.sockets.peers.receive(buf) else {
+                return;
+            };
+            let now = clock::now();
+            match Message::decode(bytes) {
+                Ok((Message::Relay(header), packet)) => self.on_relayed(header, packet, now),
+                Ok((Message::Probe { balancer }, _)) => {
+                    self.state.lock().holder.on_probe(balancer, now);
+                }
+                Ok((Message::Report(_) | Message::Holding { .. }, _)) => {
+                    self.count_drop("not-for-us");
+                }
+                Err(_) => self.count_drop("unreadable-message"),
+            }
+        }
+    }
+
+    fn on_relayed(&self, header: RelayHeader, packet: &[u8], now: Timestamp) {
+        let segment = match self.codec.from_caller(packet) {
+            Ok(decoded) => decoded.segment,
+            Err(err) => return self.count_drop(err.name()),
+        };
+        let mut state = self.state.lock();
+        let action = state.holder.on_relayed(header, &segment, now);
+        self.log(&mut state, &segment, &action, now);
+        if matches!(action, HolderAction::ToBackend { .. }) {
+            self.log_request(&mut state, &segment, packet, now);
+        }
+        drop(state);
+        self.act(action, &segment, packet);
+    }
+
+    fn take_backend_packets(&self, buf: &mut [u8]) {
+        for _ in 0..PacketSocket::BATCH {
+            let Some(packet) = self.sockets.backend.receive(buf) else {
+                return;
+            };
+            self.on_backend_packet(packet, clock::now());
+        }
+    }
+
+    fn on_backend_packet(&self, packet: &mut [u8], now: Timestamp) {
+        let decoded = match self.codec.from_backend(packet) {
+            Ok(decoded) => decoded,
+            Err(err) => return self.count_drop(err.name()),
+        };
+        let segment = decoded.segment;
+        let mut state = self.state.lock();
+        let action = if decoded.bounced {
+            self.codec.restore(packet);
+            state.holder.on_bounced(&segment, now)
+        } else {
+            state.holder.on_backend_packet(&segment, now)
+        };
+        self.log(&mut state, &segment, &action, now);
+        drop(state);
+        self.act(action, &segment, packet);
+    }
+
+    fn act(&self, action: HolderAction, segment: &Segment, packet: &[u8]) {
+        match action {
+            HolderAction::ToBackend { tell, .. } => {
+                self.metrics.to_backend.inc();
+                self.check(self.sockets.backend.send(packet, self.settings.backend));
+                if let Some(balancer) = tell {
+                    self.tell(balancer, segment);
+                }
+            }
+            HolderAction::PassOn { header, .. } => {
+                if let Some(agent) = header.target() {
+                    let message = Message::Relay(header).encode(packet);
+                    self.check(self.sockets.peers.send(&message, agent));
+                }
+            }
+            HolderAction::ToCaller { answered_after } => {
+                self.metrics.to_callers.inc();
+                if let Some(after) = answered_after {
+                    self.metrics.answer_seconds.observe(after.as_secs_f64());
+                }
+                let to = self.codec.caller_address(&segment.flow);
+                self.check(self.sockets.backend.send(packet, to));
+            }
+            HolderAction::Reset { flow, caller_has } => {
+                self.metrics.resets.inc();
+                let reset = self.codec.reset(&flow, caller_has);
+                let to = self.codec.caller_address(&flow);
+                self.check(self.sockets.backend.send(&reset, to));
+            }
+            HolderAction::Drop(reason) => self.count_drop(reason.name()),
+        }
+    }
+
+    fn tell(&self, balancer: SocketAddrV4, segment: &Segment) {
+        let message = Message::Holding {
+            agent: self.settings.agent,
+            flow: segment.flow,
+        };
+        self.check(self.sockets.peers.send(&message.encode(&[]), balancer));
+    }
+
+    fn log(&self, state: &mut State, segment: &Segment, action: &HolderAction, now: Timestamp) {
+        let opening = segment.is_opening();
+        match action {
+            HolderAction::ToBackend { admitted: true, .. } => {
+                self.metrics.admitted.inc();
+                if state.flow_lines.take(now) {
+                    let flows = state.holder.flow_count();
+                    let heartbeat_age_ms = heartbeat_age_ms(&state.holder, now);
+                    let copy = segment.acknowledged;
+                    tracing::info!(
+                        flow = %segment.flow, flows, heartbeat_age_ms, copy, "flow_admitted"
+                    );
+                }
+            }
+            HolderAction::PassOn { header, reason } => {
+                let label = ReasonLabel {
+                    reason: reason.name(),
+                };
+                self.metrics.passed_on.get_or_create(&label).inc();
+                if state.flow_lines.take(now) {
+                    log_passed_on(&state.holder, segment, header, *reason, now);
+                }
+            }
+            HolderAction::Reset { .. } => {
+                let cause = "backend server lost the flow";
+                tracing::info!(flow = %segment.flow, cause, "flow_reset");
+            }
+            HolderAction::Drop(reason) if state.flow_lines.take(now) => {
+                let here = match reason {
+                    HolderDrop::NobodyLeft(here) => here.name(),
+                    HolderDrop::UnknownBounce => "bounced",
+                };
+                let heartbeat_age_ms = heartbeat_age_ms(&state.holder, now);
+                tracing::info!(
+                    flow = %segment.flow,
+                    opening,
+                    reason = reason.name(),
+                    here,
+                    heartbeat_age_ms,
+                    "packet_dropped"
+                );
+            }
+            HolderAction::Drop(_)
+            | HolderAction::ToBackend {
+                admitted: false, ..
+            }
+            | HolderAction::ToCaller { .. } => {}
+        }
+    }
+
+    /// Names the request that a packet begins, so that a request's id leads to its flow.
+    fn log_request(&self, state: &mut State, segment: &Segment, packet: &[u8], now: Timestamp) {
+        if segment.payload == 0 {
+            return;
+        }
+        let Some(request) = self.codec.request_id(packet) else {
+            return;
+        };
+        if state.request_lines.take(now) {
+            let flows = state.holder.flow_count();
+            tracing::info!(request, flow = %segment.flow, flows, "request_given");
+        }
+    }
+
+    fn on_tick(&self) {
+        let now = clock::now();
+        let mut state = self.state.lock();
+        state.holder.expire(now);
+        let flows = i64::try_from(state.holder.flow_count());
+        self.metrics.flows.set(flows.unwrap_or(i64::MAX));
+        let requests = state.request_lines.take_left_out();
+        let flows = state.flow_lines.take_left_out();
+        drop(state);
+        if requests + flows > 0 {
+            tracing::info!(requests, flows, "lines_left_out");
+        }
+        self.send_reports(now);
+    }
+
+    fn send_reports(&self, now: Timestamp) {
+        let mut state = self.state.lock();
+        if !state.holder.owes_reports() {
+            return;
+        }
+        let (report, balancers) = state.holder.report(now);
+        drop(state);
+        self.report_to(report, &balancers);
+    }
+
+    fn report_to(&self, report: AgentReport, balancers: &[SocketAddrV4]) {
+        let message = Message::Report(report).encode(&[]);
+        for balancer in balancers {
+            self.check(self.sockets.peers.send(&message, *balancer));
+        }
+    }
+
+    /// Sends a report to balancers that need not know the agent yet.
+    pub fn introduce(&self, balancers: &[SocketAddrV4]) {
+        let report = self.state.lock().holder.introduction(clock::now());
+        self.report_to(report, balancers);
+    }
+
+    /// Takes in a heartbeat of the backend server.
+    pub fn on_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatOutcome {
+        let now = clock::now();
+        let (id, sequence) = (heartbeat.id.clone(), heartbeat.sequence);
+        let mut state = self.state.lock();
+        let outcome = state.holder.on_heartbeat(heartbeat, now);
+        let backend = state.holder.backend().state(now);
+        drop(state);
+        let label = ReasonLabel {
+            reason: outcome_name(outcome),
+        };
+        self.metrics.heartbeats.get_or_create(&label).inc();
+        match outcome {
+            HeartbeatOutcome::Changed => {
+                tracing::info!(%id, sequence, ?backend, "backend_server_changed");
+                self.send_reports(now);
+            }
+            HeartbeatOutcome::Same => {}
+            HeartbeatOutcome::Late | HeartbeatOutcome::NotOurs => {
+                tracing::info!(%id, sequence, ?outcome, "heartbeat_ignored");
+            }
+        }
+        outcome
+    }
+
+    /// Takes in that the backend server called `id` ends.
+    pub fn on_goodbye(&self, id: &str) -> bool {
+        let now = clock::now();
+        let ours = self.state.lock().holder.on_goodbye(id, now);
+        tracing::info!(id, ours, "backend_server_left");
+        self.send_reports(now);
+        ours
+    }
+
+    /// Tells the callers of open flows that the backend server has ended.
+    pub fn give_up_flows(&self) {
+        let actions = self.state.lock().holder.give_up_flows();
+        for action in actions {
+            if let HolderAction::Reset { flow, .. } = &action {
+                let cause = "backend server has ended";
+                tracing::info!(%flow, cause, "flow_reset");
+                let segment = Segment::new(*flow);
+                self.act(action, &segment, &[]);
+            }
+        }
+    }
+
+    /// Takes no new flow from now on, and says so.
+    pub fn stop(&self) {
+        let now = clock::now();
+        self.state.lock().holder.stop(now);
+        self.send_reports(now);
+    }
+
+    /// Where the agent takes relayed packets.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddrV4 {
+        self.settings.agent
+    }
+
+    /// Looks at the holder.
+    pub fn with_holder<T>(&self, look: impl FnOnce(&FlowHolder) -> T) -> T {
+        look(&self.state.lock().holder)
+    }
+
+    /// What is counted.
+    #[must_use]
+    pub const fn metrics(&self) -> &PacketAgentMetrics {
+        &self.metrics
+    }
+
+    fn check(&self, sent: bool) {
+        if !sent {
+            self.metrics.send_failed.inc();
+        }
+    }
+
+    fn count_drop(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.metrics.dropped.get_or_create(&label).inc();
+    }
+}
+
+fn log_passed_on(
+    holder: &FlowHolder,
+    segment: &Segment,
+    header: &RelayHeader,
+    reason: Refused,
+    now: Timestamp,
+) {
+    let (opening, next) = (segment.is_opening(), header.target());
+    let heartbeat_age_ms = heartbeat_age_ms(holder, now);
+    let backend = holder.backend().state(now);
+    let (flow, hops) = (segment.flow, header.hops());
+    tracing::info!(
+        %flow, opening, reason = reason.name(), ?next, hops, ?backend, heartbeat_age_ms,
+        "packet_passed_on"
+    );
+}
+
+/// The age of the last heartbeat, or -1 where none has come.
+fn heartbeat_age_ms(holder: &FlowHolder, now: Timestamp) -> i64 {
+    let age = holder.backend().heartbeat_age(now);
+    age.map_or(-1, |it| i64::try_from(it.as_millis()).unwrap_or(i64::MAX))
+}
+
+const fn outcome_name(outcome: HeartbeatOutcome) -> &'static str {
+    match outcome {
+        HeartbeatOutcome::Changed => "changed",
+        HeartbeatOutcome::Same => "same",
+        HeartbeatOutcome::Late => "late",
+        HeartbeatOutcome::NotOurs => "not-ours",
+    }
+}
--- /dev/null
+++ b/arbutus-io/src/packet/balancer.rs
@@ -0,0 +1,366 @@
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use arbutus_core::{
+    packet::{
+        AgentListing, AgentReport, Choice, MemberChange, Message, PacketConfig, PeerSnapshot,
+        Segment, Steer, SteerDrop, Steering, SteeringSettings,
+    },
+    time::Timestamp,
+};
+use parking_lot::Mutex;
+use tokio::{
+    sync::Notify,
+    time::{self, MissedTickBehavior},
+};
+
+use super::{PacketCodec, PacketSocket};
+use crate::{
+    clock,
+    metrics::{PacketBalancerMetrics, ReasonLabel},
+    telemetry::LineBudget,
+};
+
+/// The sockets of a balancer of packet flows.
+#[derive(Debug)]
+pub struct BalancerSockets {
+    /// Where callers' packets come in.
+    pub callers: PacketSocket,
+    /// Where agents' messages come in and relayed packets go out.
+    pub peers: PacketSocket,
+}
+
+/// A balancer of packet flows.
+#[derive(Debug)]
+pub struct PacketBalancer<C> {
+    settings: SteeringSettings,
+    codec: C,
+    metrics: PacketBalancerMetrics,
+    sockets: BalancerSockets,
+    state: Mutex<State>,
+    /// Told when another balancer is to be asked for its configuration.
+    config_missed: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    steering: Steering,
+    /// When the last packet of a caller came.
+    caller_at: Timestamp,
+    isolated: bool,
+    placed_lines: LineBudget,
+    searched_lines: LineBudget,
+    dropped_lines: LineBudget,
+}
+
+impl<C: PacketCodec> PacketBalancer<C> {
+    /// Time between two looks at what is silent or too old.
+    const TICK: Duration = Duration::from_millis(250);
+
+    /// Most lines of each kind in a second.
+    const LINES_PER_S: u32 = 200;
+
+    /// Makes a balancer that knows nothing yet.
+    #[must_use]
+    pub fn new(
+        settings: SteeringSettings,
+        codec: C,
+        metrics: PacketBalancerMetrics,
+        sockets: BalancerSockets,
+    ) -> Arc<Self> {
+        let state = State {
+            steering: Steering::new(settings.clone()),
+            caller_at: Timestamp::ZERO,
+            isolated: false,
+            placed_lines: LineBudget::new(Self::LINES_PER_S),
+            searched_lines: LineBudget::new(Self::LINES_PER_S),
+            dropped_lines: LineBudget::new(Self::LINES_PER_S),
+        };
+        Arc::new(Self {
+            settings,
+            codec,
+            metrics,
+            sockets,
+            state: Mutex::new(state),
+            config_missed: Notify::new(),
+        })
+    }
+
+    /// Forwards packets until the process ends.
+    pub async fn run(self: Arc<Self>) {
+        let mut buf = [0; PacketSocket::MAX_DATAGRAM];
+        let mut tick = time::interval(Self::TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = self.sockets.callers.readable() => self.take_packets(&mut buf),
+                () = self.sockets.peers.readable() => self.take_messages(&mut buf),
+                _ = tick.tick() => self.on_tick(),
+            }
+        }
+    }
+
+    fn take_packets(&self, buf: &mut [u8]) {
+        for _ in 0..PacketSocket::BATCH {
+            let Some(packet) = self.sockets.callers.receive(buf) else {
+                return;
+            };
+            self.on_packet(packet, clock::now());
+        }
+    }
+
+    fn on_packet(&self, packet: &[u8], now: Timestamp) {
+        let segment = match self.codec.from_caller(packet) {
+            Ok(decoded) if !decoded.bounced => decoded.segment,
+            Ok(_) => return self.count_drop(SteerDrop::NotACaller.name()),
+            Err(err) => return self.count_drop(err.name()),
+        };
+        let mut state = self.state.lock();
+        state.caller_at = now;
+        match state.steering.on_packet(&segment, now) {
+            Steer::Relay {
+                header,
+                placed,
+                searched,
+            } => {
+                if let Some(choice) = placed {
+                    self.log_placed(&mut state, &segment, &choice, now);
+                }
+                if searched {
+                    self.log_searched(&mut state, &segment, header.candidates().len(), now);
+                }
+                drop(state);
+                if let Some(agent) = header.target() {
+                    self.metrics.relayed.inc();
+                    self.send(&Message::Relay(header).encode(packet), agent);
+                }
+            }
+            Steer::Drop(reason) => self.log_dropped(&mut state, &segment, reason, now),
+        }
+    }
+
+    fn log_placed(&self, state: &mut State, segment: &Segment, choice: &Choice, now: Timestamp) {
+        self.metrics.placed.inc();
+        if !state.placed_lines.take(now) {
+            return;
+        }
+        tracing::info!(
+            flow = %segment.flow,
+            route = %choice.route,
+            service = %choice.service,
+            agent = %choice.agent,
+            score = choice.score,
+            weighed = choice.weighed,
+            report_age_ms = age_ms(choice.report_age),
+            config = %state.steering.config_version(),
+            copy = segment.acknowledged,
+            "flow_placed"
+        );
+    }
+
+    fn log_searched(&self, state: &mut State, segment: &Segment, asked: usize, now: Timestamp) {
+        self.metrics.searched.inc();
+        if state.searched_lines.take(now) {
+            let config = state.steering.config_version();
+            tracing::info!(flow = %segment.flow, candidates = asked, %config, "flow_searched");
+        }
+    }
+
+    fn log_dropped(&self, state: &mut State, segment: &Segment, reason: SteerDrop, now: Timestamp) {
+        self.count_drop(reason.name());
+        if state.dropped_lines.take(now) {
+            tracing::info!(
+                flow = %segment.flow,
+                reason = reason.name(),
+                opening = segment.is_opening(),
+                config = %state.steering.config_version(),
+                agents = state.steering.member_count(),
+                "packet_dropped"
+            );
+        }
+    }
+
+    fn count_drop(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.metrics.dropped.get_or_create(&label).inc();
+    }
+
+    fn take_messages(&self, buf: &mut [u8]) {
+        for _ in 0..PacketSocket::BATCH {
+            let Some(bytes) = self.sockets.peers.receive(buf) else {
+                return;
+            };
+            self.on_message(bytes, clock::now());
+        }
+    }
+
+    fn on_message(&self, bytes: &[u8], now: Timestamp) {
+        match Message::decode(bytes) {
+            Ok((Message::Report(report), _)) => self.on_report(report, now),
+            Ok((Message::Holding { agent, flow }, _)) => {
+                self.state.lock().steering.on_holding(agent, flow, now);
+            }
+            Ok((Message::Relay(_) | Message::Probe { .. }, _)) => self.count_drop("not-for-us"),
+            Err(_) => self.count_drop("unreadable-message"),
+        }
+    }
+
+    fn on_report(&self, report: AgentReport, now: Timestamp) {
+        let (agent, status, incarnation) = (report.agent, report.status, report.incarnation);
+        let change = self.state.lock().steering.on_report(report, now);
+        match change {
+            MemberChange::Joined | MemberChange::Status | MemberChange::Left => tracing::info!(
+                %agent, ?status, %incarnation, ?change, source = "report", "agent_changed"
+            ),
+            MemberChange::Unchanged | MemberChange::Stale => {}
+        }
+    }
+
+    fn on_tick(&self) {
+        let now = clock::now();
+        let mut state = self.state.lock();
+        let gone = state.steering.expire(now);
+        let probes = state.steering.probes(now);
+        let isolated = state.steering.is_isolated(now);
+        let turned = isolated != state.isolated;
+        state.isolated = isolated;
+        self.show(&state.steering);
+        let missed = state.steering.has_missed_config(now);
+        let left_out = [
+            state.placed_lines.take_left_out(),
+            state.searched_lines.take_left_out(),
+            state.dropped_lines.take_left_out(),
+        ];
+        drop(state);
+        if missed {
+            self.config_missed.notify_one();
+        }
+        if turned {
+            tracing::info!(isolated, "isolation_changed");
+        }
+        for agent in gone {
+            tracing::info!(%agent, change = "Left", source = "silence", "agent_changed");
+        }
+        if left_out.iter().any(|it| *it > 0) {
+            let [placed, searched, dropped] = left_out;
+            tracing::info!(placed, searched, dropped, "lines_left_out");
+        }
+        let balancer = self.settings.balancer;
+        let probe = Message::Probe { balancer }.encode(&[]);
+        for agent in probes {
+            self.send(&probe, agent);
+        }
+    }
+
+    fn show(&self, steering: &Steering) {
+        set(&self.metrics.agents, steering.member_count());
+        set(&self.metrics.flows, steering.flow_count());
+        let version = i64::try_from(steering.config_version().get());
+        self.metrics.config_version.set(version.unwrap_or(i64::MAX));
+    }
+
+    fn send(&self, bytes: &[u8], to: SocketAddrV4) {
+        if !self.sockets.peers.send(bytes, to) {
+            self.metrics.send_failed.inc();
+        }
+    }
+
+    /// Takes in a configuration that came from `source`.
+    pub fn on_config(&self, config: PacketConfig, source: &'static str) {
+        let (version, routes) = (config.version, config.routes.len());
+        let mut state = self.state.lock();
+        let before = state.steering.config_version();
+        let newer = state.steering.on_config(config);
+        drop(state);
+        if newer {
+            tracing::info!(%version, %before, routes, source, "config_in_force");
+        } else {
+            tracing::debug!(%version, %before, source, "config_not_newer");
+        }
+    }
+
+    /// Takes in that the store lists exactly these agents.
+    pub fn on_listing(&self, listings: &[AgentListing]) {
+        self.state
+            .lock()
+            .steering
+            .on_listing(listings, clock::now());
+        tracing::info!(agents = listings.len(), "agents_listed");
+    }
+
+    /// Takes in that the store lists an agent.
+    pub fn on_listed(&self, listing: &AgentListing) {
+        let now = clock::now();
+        let change = self.state.lock().steering.on_listed(listing, now);
+        let AgentListing {
+            agent, incarnation, ..
+        } = listing;
+        tracing::info!(%agent, %incarnation, ?change, source = "store", "agent_listed");
+    }
+
+    /// Takes in that the store no longer lists an agent.
+    pub fn on_unlisted(&self, agent: SocketAddrV4) {
+        let change = self.state.lock().steering.on_unlisted(agent);
+        tracing::info!(%agent, ?change, source = "store", "agent_unlisted");
+    }
+
+    /// Takes in what another balancer knows.
+    pub fn on_snapshot(&self, snapshot: PeerSnapshot) {
+        let now = clock::now();
+        let agents = snapshot.agents.len();
+        if let Some(config) = snapshot.config {
+            self.on_config(config, "peer");
+        }
+        let mut state = self.state.lock();
+        for listing in &snapshot.agents {
+            state.steering.on_listed(listing, now);
+        }
+        drop(state);
+        tracing::info!(agents, "peer_snapshot_taken");
+    }
+
+    /// What another balancer may start from.
+    #[must_use]
+    pub fn snapshot(&self) -> PeerSnapshot {
+        self.state.lock().steering.snapshot()
+    }
+
+    /// Waits until a configuration is known that the store has not brought, and gives the balancer
+    /// that has it.
+    pub async fn config_to_fetch(&self) -> SocketAddrV4 {
+        loop {
+            self.config_missed.notified().await;
+            let mut state = self.state.lock();
+            if let Some(holder) = state.steering.config_to_fetch(clock::now()) {
+                return holder;
+            }
+        }
+    }
+
+    /// Whether callers' packets may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.lock();
+        state.steering.has_config() && !state.isolated
+    }
+
+    /// How long no packet of a caller has come.
+    #[must_use]
+    pub fn callers_quiet_for(&self) -> Duration {
+        clock::now().since(self.state.lock().caller_at)
+    }
+
+    /// What is counted.
+    #[must_use]
+    pub const fn metrics(&self) -> &PacketBalancerMetrics {
+        &self.metrics
+    }
+}
+
+fn set(gauge: &prometheus_client::metrics::gauge::Gauge, value: usize) {
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+}
+
+/// An age in milliseconds, or -1 where there is none.
+fn age_ms(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |it| i64::try_from(it.as_millis()).unwrap_or(i64::MAX))
+}
--- a/arbutus-io/src/shutdown.rs
+++ b/arbutus-io/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! The operator's wish that a daemon ends.
+//! The operator's wish that a daemon ends, or reads its settings again.
 
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -15,3 +15,15 @@
         _ = int.recv() => {}
     }
 }
+
+/// Calls `reload` at each SIGHUP until the process ends.
+///
+/// # Panics
+///
+/// Panics where the kernel does not let the process handle signals.
+pub async fn on_reload(reload: impl Fn()) {
+    let mut hangup = signal(SignalKind::hangup()).expect("SIGHUP can be handled");
+    while hangup.recv().await.is_some() {
+        reload();
+    }
+}
--- /dev/null
+++ b/arbutus-io/src/telemetry/bounded_log.rs
@@ -0,0 +1,110 @@
+use std::{
+    io::{self, Write},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use parking_lot::{Condvar, Mutex};
+
+/// A log whose writers never wait for its reader.
+#[derive(Debug, Clone)]
+pub struct BoundedLog {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    pending: Mutex<Pending>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct Pending {
+    /// Whole lines; at most [`BoundedLog::MAX_BYTES`].
+    lines: Vec<u8>,
+    left_out: u64,
+    /// Whether the thread is writing lines that it has taken.
+    writing: bool,
+}
+
+impl BoundedLog {
+    /// Most bytes that wait to be written.
+    pub const MAX_BYTES: usize = 256 * 1024;
+
+    /// How long lines are gathered before they are written together.
+    const GATHER: Duration = Duration::from_millis(100);
+
+    /// Starts the thread that writes to `out`.
+    #[must_use]
+    pub fn start(out: impl Write + Send + 'static) -> Self {
+        let shared = Arc::new(Shared::default());
+        let log = Self {
+            shared: shared.clone(),
+        };
+        let spawned = thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(&shared, out));
+        if let Err(err) = spawned {
+            eprintln!("event=log_thread_failed err={err:?}");
+        }
+        log
+    }
+
+    /// Waits until nothing is pending, but no longer than `limit`.
+    pub fn flush(&self, limit: Duration) {
+        let mut pending = self.shared.pending.lock();
+        let busy = |it: &mut Pending| it.writing || !it.lines.is_empty();
+        self.shared
+            .changed
+            .wait_while_for(&mut pending, busy, limit);
+    }
+}
+
+impl Write for BoundedLog {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let mut pending = self.shared.pending.lock();
+        if pending.lines.len() + buf.len() > Self::MAX_BYTES {
+            pending.left_out += 1;
+            return Ok(buf.len());
+        }
+        let was_empty = pending.lines.is_empty();
+        pending.lines.extend_from_slice(buf);
+        if was_empty {
+            self.shared.changed.notify_all();
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines(shared: &Shared, mut out: impl Write) {
+    loop {
+        let lines = take_lines(shared);
+        let written = out.write_all(&lines).and_then(|()| out.flush());
+        if let Err(err) = written {
+            // There is no better place to say so.
+            eprintln!("event=log_write_failed err={err:?}");
+        }
+        shared.pending.lock().writing = false;
+        shared.changed.notify_all();
+        thread::sleep(BoundedLog::GATHER);
+    }
+}
+
+fn take_lines(shared: &Shared) -> Vec<u8> {
+    let mut pending = shared.pending.lock();
+    while pending.lines.is_empty() {
+        shared.changed.wait(&mut pending);
+    }
+    let mut lines = std::mem::take(&mut pending.lines);
+    let left_out = std::mem::take(&mut pending.left_out);
+    if left_out > 0 {
+        lines.extend_from_slice(format!("event=log_lines_left_out count={left_out}\n").as_bytes());
+    }
+    pending.writing = true;
+    lines
+}
