--- a/arbutus-core/src/packet/flow_holder.rs
+++ b/arbutus-core/src/packet/flow_holder.rs
@@ -135,7 +135,7 @@
 
     /// Why a new flow is not taken.
     fn refuses(&self, header: &RelayHeader, now: Timestamp) -> Option<Refused> {
-        if header.services.first() != Some(&self.tag) {
+        if header.service != self.tag {
             return Some(Refused::OtherService);
         }
         if self.stopping {
@@ -151,9 +151,7 @@
     }
 
     fn on_later(&mut self, header: RelayHeader, segment: &Segment, now: Timestamp) -> HolderAction {
-        if !header.services.contains(&self.tag) {
-            return pass_on(header, Refused::OtherService);
-        }
+        // A configuration that gives the route to another service leaves open flows where they are.
         let Some(held) = self.flows.get_mut(&segment.flow) else {
             return self.on_unknown(header, segment, now);
         };
--- a/arbutus-core/src/packet/placement.rs
+++ b/arbutus-core/src/packet/placement.rs
@@ -50,14 +50,16 @@
         scored
     }
 
-    /// The agents that may hold a flow of `targets`, the likeliest first.
+    /// The agents that may hold a flow, the likeliest first.
+    ///
+    /// A route's flows may be with agents of other services too, to which an earlier configuration
+    /// sent them.
     pub(super) fn for_open_flow(&self, flow: u64, targets: &[RouteTarget]) -> Vec<SocketAddrV4> {
-        let holds =
-            |it: &&Member| it.may_hold() && targets.iter().any(|target| target.tag == it.service);
-        let mut likely: Vec<&Member> = self.members.iter().filter(holds).collect();
+        let mut likely: Vec<&Member> = self.members.iter().filter(|it| it.may_hold()).collect();
         by_rank(&mut likely, flow);
+        let is_target = |it: &Member| targets.iter().any(|target| target.tag == it.service);
         // An agent that does not answer would swallow the packet.
-        likely.sort_by_key(|it| it.is_silent(Steering::SILENCE, self.now));
+        likely.sort_by_key(|it| (it.is_silent(Steering::SILENCE, self.now), !is_target(it)));
         likely.truncate(RelayHeader::MAX_CANDIDATES);
         likely.iter().map(|it| it.agent).collect()
     }
--- a/arbutus-core/src/packet/relay_header.rs
+++ b/arbutus-core/src/packet/relay_header.rs
@@ -15,8 +15,8 @@
     pub balancer: SocketAddrV4,
     /// The configuration by which the balancer decided.
     pub config: ConfigVersion,
-    /// The services that the route allows; an opening segment may go to the first alone.
-    pub services: Vec<ServiceTag>,
+    /// The service that may take an opening segment.
+    pub service: ServiceTag,
     /// Whether an agent told the balancer that the first candidate holds the flow.
     pub known: bool,
     /// At most [`RelayHeader::MAX_CANDIDATES`]; no address stands twice.
@@ -46,7 +46,7 @@
         Self {
             balancer,
             config: ConfigVersion::NONE,
-            services: Vec::new(),
+            service: ServiceTag::default(),
             known: false,
             candidates: kept,
             position: 0,
@@ -55,11 +55,17 @@
         }
     }
 
-    /// Sets the configuration that decided and the services that it allows.
+    /// Sets the configuration that decided.
     #[must_use]
-    pub fn allowed(mut self, config: ConfigVersion, services: Vec<ServiceTag>) -> Self {
+    pub const fn config(mut self, config: ConfigVersion) -> Self {
         self.config = config;
-        self.services = services;
+        self
+    }
+
+    /// Sets the service that may take an opening segment.
+    #[must_use]
+    pub const fn service(mut self, service: ServiceTag) -> Self {
+        self.service = service;
         self
     }
 
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -118,7 +118,7 @@
         let first = follows.map(|it| it.agent);
         let order = first.into_iter().chain(scored.iter().map(|it| it.agent));
         let header = RelayHeader::new(self.settings.balancer, order)
-            .allowed(ConfigVersion::NONE, vec![target.tag])
+            .service(target.tag)
             .known(cached.is_some_and(|it| it.confirmed));
         let Some(agent) = header.target() else {
             return Steer::Drop(SteerDrop::NoAgent);
@@ -165,10 +165,6 @@
         let likely = placement.for_open_flow(segment.flow.hash(), &route.targets);
         let first = cached.map(|it| it.agent);
         let header = RelayHeader::new(self.settings.balancer, first.into_iter().chain(likely))
-            .allowed(
-                ConfigVersion::NONE,
-                route.targets.iter().map(|it| it.tag).collect(),
-            )
             .known(cached.is_some_and(|it| it.confirmed));
         if header.target().is_none() {
             return Steer::Drop(SteerDrop::NoAgent);
@@ -192,9 +188,8 @@
                 if let Some(member) = agent.and_then(|it| self.members.get_mut(it)) {
                     member.note_sent(now);
                 }
-                let services = header.services.clone();
                 Steer::Relay {
-                    header: header.allowed(version, services),
+                    header: header.config(version),
                     placed,
                     searched,
                 }
