feat(core): callers of flows that nobody holds any more are told at once

Now a search that asked everyone who can hold the flow, by a balancer whose view of the agents is settled, ends in a reset; so does a packet for the agent that was known to hold it. Agents that the store does not list make themselves known, so that a view is complete. Ruled out: resets by a balancer for a silent agent, which may live behind a cut.

--- a/arbutus-core/src/packet.rs
+++ b/arbutus-core/src/packet.rs
@@ -56,6 +56,7 @@
 mod steer;
 mod steering;
 mod target;
+mod view;
 
 pub use agent_listing::AgentListing;
 pub use agent_report::{AgentReport, AgentStatus};
@@ -63,7 +64,7 @@
 pub use backend_watch::{BackendWatch, HeartbeatOutcome};
 pub use flow_holder::{FlowHolder, HolderSettings};
 pub use flow_id::FlowId;
-pub use holder_action::{HolderAction, HolderDrop, Refused};
+pub use holder_action::{HolderAction, HolderDrop, Refused, ResetCause};
 pub use member_table::MemberChange;
 pub use message::{Message, MessageError};
 pub use packet_config::PacketConfig;
--- a/arbutus-core/src/packet/backend_watch.rs
+++ b/arbutus-core/src/packet/backend_watch.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use super::{BackendState, Heartbeat};
-use crate::time::Timestamp;
+use crate::{ident::Incarnation, time::Timestamp};
 
 /// What became of a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,6 +16,13 @@
     NotOurs,
 }
 
+/// When the first heartbeat of a start was heard.
+#[derive(Debug, Clone, Copy)]
+struct FirstHeard {
+    sequence: u64,
+    at: Timestamp,
+}
+
 /// An agent's knowledge of its backend server.
 #[derive(Debug)]
 pub struct BackendWatch {
@@ -25,6 +32,8 @@
     fresh_for: Duration,
     last: Option<Heartbeat>,
     heard_at: Timestamp,
+    /// The first heartbeat of the present start that was heard here.
+    first: Option<FirstHeard>,
     /// Whether the sender of `last` has said goodbye.
     left: bool,
     /// When it was first given an opening segment that nothing was heard after.
@@ -37,6 +46,9 @@
     /// Heartbeats that may be missing before a backend server gets no new flow.
     const HEARTBEATS: u32 = 3;
 
+    /// Heartbeats of a backend server that may have been sent right after its start.
+    const FIRST_NUMBERS: u32 = 2;
+
     /// How long a backend server may leave an opening segment unanswered before others are asked.
     const UNRESPONSIVE: Duration = Duration::from_millis(120);
 
@@ -52,6 +64,7 @@
             fresh_for: heartbeat * Self::HEARTBEATS,
             last: None,
             heard_at: Timestamp::ZERO,
+            first: None,
             left: false,
             asked_since: None,
             asked_at: Timestamp::ZERO,
@@ -71,6 +84,12 @@
             .last
             .as_ref()
             .is_some_and(|it| same_start(it, &heartbeat));
+        if !same_start {
+            self.first = Some(FirstHeard {
+                sequence: heartbeat.sequence,
+                at: now,
+            });
+        }
         self.last = Some(heartbeat);
         self.heard_at = now;
         self.left = false;
@@ -143,6 +162,21 @@
             .is_some_and(|since| now.since(since) >= Self::UNRESPONSIVE)
     }
 
+    /// Whether the backend server started after a process of `incarnation` that started at `start`.
+    ///
+    /// The wall clock tells, unless it was set meanwhile; so the number of heartbeats before the
+    /// first one heard must fit too.
+    pub(super) fn started_after(&self, incarnation: Incarnation, start: Timestamp) -> bool {
+        let (Some(last), Some(first)) = (&self.last, self.first) else {
+            return false;
+        };
+        let heartbeat = self.fresh_for / Self::HEARTBEATS;
+        let before = u32::try_from(first.sequence).unwrap_or(u32::MAX);
+        // Numbers may begin with one, and the first may be late by one.
+        let age = heartbeat.saturating_mul(before.saturating_sub(Self::FIRST_NUMBERS));
+        last.born_ms >= incarnation.get() && age <= first.at.since(start)
+    }
+
     /// Its last heartbeat.
     #[must_use]
     pub const fn last(&self) -> Option<&Heartbeat> {
--- a/arbutus-core/src/packet/balancer_links.rs
+++ b/arbutus-core/src/packet/balancer_links.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// The balancers, a bounded number of them.
+    pub(super) fn some(&self) -> Vec<SocketAddrV4> {
+        self.links.keys().copied().take(Self::REPORTS).collect()
+    }
+
     pub(super) fn len(&self) -> usize {
         self.links.len()
     }
--- a/arbutus-core/src/packet/flow_cache.rs
+++ b/arbutus-core/src/packet/flow_cache.rs
@@ -31,10 +31,12 @@
         Some(*cached)
     }
 
+    /// Notes where an opening segment was sent, or by whom it was taken.
     pub(super) fn place(&mut self, flow: FlowId, agent: SocketAddrV4, now: Timestamp) {
         self.insert(flow, agent, false, now);
     }
 
+    /// Notes that an agent holds the open flow.
     pub(super) fn confirm(&mut self, flow: FlowId, agent: SocketAddrV4, now: Timestamp) {
         self.insert(flow, agent, true, now);
     }
--- a/arbutus-core/src/packet/flow_holder.rs
+++ b/arbutus-core/src/packet/flow_holder.rs
@@ -4,7 +4,7 @@
 
 use super::{
     AgentReport, AgentStatus, BackendState, BackendWatch, FlowId, Heartbeat, HeartbeatOutcome,
-    HolderAction, HolderDrop, Refused, RelayHeader, Segment,
+    HolderAction, HolderDrop, Refused, RelayHeader, ResetCause, Segment,
     balancer_links::BalancerLinks,
     held_flow::{HeldFlow, Phase},
 };
@@ -49,6 +49,10 @@
     links: BalancerLinks,
     sequence: u32,
     stopping: bool,
+    /// When the process started.
+    started_at: Timestamp,
+    /// Whether a flow had to make room for another.
+    forgot_flows: bool,
     config: ConfigVersion,
     config_source: Option<SocketAddrV4>,
 }
@@ -69,7 +73,7 @@
 
     /// Makes an agent that knows nothing of its backend server.
     #[must_use]
-    pub fn new(settings: HolderSettings) -> Self {
+    pub fn new(settings: HolderSettings, now: Timestamp) -> Self {
         let backend = BackendWatch::new(
             settings.service.clone(),
             settings.backend,
@@ -84,6 +88,8 @@
             links: BalancerLinks::default(),
             sequence: 0,
             stopping: false,
+            started_at: now,
+            forgot_flows: false,
             config: ConfigVersion::NONE,
             config_source: None,
         }
@@ -118,7 +124,7 @@
         let copy = held.filter(|it| it.ended_at.is_none());
         if copy.is_none() {
             if let Some(reason) = self.refuses(&header, now) {
-                return pass_on(header, reason);
+                return pass_on(header, segment, reason);
             }
             self.make_room();
             let flow = HeldFlow::new(Phase::Asked, now);
@@ -156,7 +162,7 @@
             return self.on_unknown(header, segment, now);
         };
         if !held.confirms(segment) {
-            return pass_on(header, Refused::OtherStream);
+            return pass_on(header, segment, Refused::OtherStream);
         }
         held.from_caller(segment, now);
         let tell = tell(&header);
@@ -174,11 +180,11 @@
         now: Timestamp,
     ) -> HolderAction {
         if self.knows_all_flows() {
-            return pass_on(header, Refused::NotHeld);
+            return pass_on(header, segment, Refused::NotHeld);
         }
-        if !header.is_second_round() {
+        if !header.known && !header.is_second_round() {
             header.mark();
-            return pass_on(header, Refused::Unsure);
+            return pass_on(header, segment, Refused::Unsure);
         }
         self.note_under_way(header, segment.flow, now);
         HolderAction::ToBackend {
@@ -220,11 +226,14 @@
                 return HolderAction::Reset {
                     flow: segment.flow,
                     caller_has: segment.acknowledged,
+                    cause: ResetCause::BackendForgot,
                 };
             }
         }
         match under_way {
-            Some(it) if now.since(it.at) < Self::UNDER_WAY => pass_on(it.header, Refused::Bounced),
+            Some(it) if now.since(it.at) < Self::UNDER_WAY => {
+                pass_on(it.header, segment, Refused::Bounced)
+            }
             _ => HolderAction::Drop(HolderDrop::UnknownBounce),
         }
     }
@@ -257,6 +266,7 @@
             .map(|(flow, held)| HolderAction::Reset {
                 flow,
                 caller_has: held.caller_has,
+                cause: ResetCause::BackendEnded,
             })
             .collect()
     }
@@ -341,6 +351,12 @@
         self.flows.len()
     }
 
+    /// The balancers that had packets lately, a bounded number of them.
+    #[must_use]
+    pub fn balancers(&self) -> Vec<SocketAddrV4> {
+        self.links.some()
+    }
+
     /// How many balancers are known.
     #[must_use]
     pub fn balancer_count(&self) -> usize {
@@ -349,11 +365,10 @@
 
     /// Whether every flow of the backend server was opened through this process.
     fn knows_all_flows(&self) -> bool {
-        let own_start = self.settings.incarnation.get();
-        match self.backend.last() {
-            Some(heartbeat) => heartbeat.born_ms >= own_start,
-            None => false,
-        }
+        !self.forgot_flows
+            && self
+                .backend
+                .started_after(self.settings.incarnation, self.started_at)
     }
 
     fn note_under_way(&mut self, header: RelayHeader, flow: FlowId, now: Timestamp) {
@@ -363,6 +378,7 @@
     fn make_room(&mut self) {
         if self.flows.len() >= Self::MAX_FLOWS {
             self.flows.swap_remove_index(0);
+            self.forgot_flows = true;
         }
     }
 }
@@ -371,14 +387,29 @@
     u32::try_from(number).unwrap_or(u32::MAX)
 }
 
-/// The balancer that does not know yet that the flow is here.
+/// The balancer that does not know that the flow is here.
 fn tell(header: &RelayHeader) -> Option<SocketAddrV4> {
     (!header.known || header.hops() > 0).then_some(header.balancer)
 }
 
-fn pass_on(mut header: RelayHeader, reason: Refused) -> HolderAction {
-    match header.advance() {
-        Some(_) => HolderAction::PassOn { header, reason },
-        None => HolderAction::Drop(HolderDrop::NobodyLeft(reason)),
+/// Sends a packet to the next candidate; where all have been asked that could hold an open flow,
+/// its caller is told.
+fn pass_on(mut header: RelayHeader, segment: &Segment, reason: Refused) -> HolderAction {
+    if header.advance().is_some() {
+        return HolderAction::PassOn { header, reason };
+    }
+    let waits = segment.payload > 0 && !segment.resets;
+    let cause = match (header.known, header.everyone) {
+        (true, _) => ResetCause::BackendReplaced,
+        (_, true) => ResetCause::NobodyHolds,
+        (false, false) => return HolderAction::Drop(HolderDrop::NobodyLeft(reason)),
+    };
+    if segment.is_opening() || !waits {
+        return HolderAction::Drop(HolderDrop::NobodyLeft(reason));
+    }
+    HolderAction::Reset {
+        flow: segment.flow,
+        caller_has: segment.acknowledged,
+        cause,
     }
 }
--- a/arbutus-core/src/packet/holder_action.rs
+++ b/arbutus-core/src/packet/holder_action.rs
@@ -30,11 +30,39 @@
         flow: FlowId,
         /// The position up to which the caller has the backend server's stream.
         caller_has: u32,
+        /// What proves that no backend server holds the flow.
+        cause: ResetCause,
     },
     /// Nobody gets it.
     Drop(HolderDrop),
 }
 
+/// What proves that no backend server holds a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ResetCause {
+    /// The backend server held the flow and turns its packets away.
+    BackendForgot,
+    /// The backend server has ended.
+    BackendEnded,
+    /// The agent was known to hold the flow, and its backend server has started anew.
+    BackendReplaced,
+    /// Every agent that can hold the flow was asked.
+    NobodyHolds,
+}
+
+impl ResetCause {
+    /// The cause as logs name it.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::BackendForgot => "backend-forgot",
+            Self::BackendEnded => "backend-ended",
+            Self::BackendReplaced => "backend-replaced",
+            Self::NobodyHolds => "nobody-holds",
+        }
+    }
+}
+
 /// Why a packet does not stay at an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Refused {
--- a/arbutus-core/src/packet/member_table.rs
+++ b/arbutus-core/src/packet/member_table.rs
@@ -44,6 +44,16 @@
         MemberChange::Joined
     }
 
+    /// Takes in that another balancer knows the agent, which may not be listed.
+    pub(super) fn tell(&mut self, listing: &AgentListing, now: Timestamp) {
+        let known = self.members.get(&listing.agent);
+        if known.is_none_or(|it| it.incarnation < listing.incarnation) {
+            let mut member = Member::listed(listing, now);
+            member.listed = known.is_some_and(|it| it.listed);
+            self.members.insert(listing.agent, member);
+        }
+    }
+
     /// Takes in that the store no longer lists the agent, which stays as long as it is heard.
     pub(super) fn unlist(&mut self, agent: SocketAddrV4) -> MemberChange {
         match self.members.get_mut(&agent) {
--- a/arbutus-core/src/packet/message.rs
+++ b/arbutus-core/src/packet/message.rs
@@ -17,7 +17,12 @@
         agent: SocketAddrV4,
         /// The flow.
         flow: FlowId,
+        /// Whether the caller has confirmed the agent's backend server.
+        open: bool,
     },
+    /// An agent that the store does not list is made known: by a balancer to some agents, and by
+    /// these to their balancers.
+    Introduced(AgentReport),
     /// A balancer asks an agent for a report.
     Probe {
         /// Where the report goes.
--- a/arbutus-core/src/packet/placement.rs
+++ b/arbutus-core/src/packet/placement.rs
@@ -13,6 +13,24 @@
     pub(super) now: Timestamp,
 }
 
+/// Agents that may hold a flow.
+#[derive(Debug)]
+pub(super) struct Likely {
+    /// The likeliest first.
+    pub(super) agents: Vec<SocketAddrV4>,
+    /// Whether every agent that may hold the flow is among them.
+    pub(super) all: bool,
+}
+
+/// How late an agent is asked for a flow; what stands first weighs most.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Distance {
+    /// Whether it would swallow the packet.
+    silent: bool,
+    other_service: bool,
+    far: bool,
+}
+
 /// The load of an agent as a balancer estimates it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Scored {
@@ -50,18 +68,34 @@
         scored
     }
 
-    /// The agents that may hold a flow, the likeliest first.
+    /// The agents that may hold a flow, the likeliest first, and whether these are all.
     ///
     /// A route's flows may be with agents of other services too, to which an earlier configuration
-    /// sent them.
-    pub(super) fn for_open_flow(&self, flow: u64, targets: &[RouteTarget]) -> Vec<SocketAddrV4> {
+    /// sent them. The nearest agents come first, and those of a failure domain together, so that
+    /// a search leaves few of them twice.
+    pub(super) fn for_open_flow(&self, flow: u64, targets: &[RouteTarget]) -> Likely {
         let mut likely: Vec<&Member> = self.members.iter().filter(|it| it.may_hold()).collect();
         by_rank(&mut likely, flow);
-        let is_target = |it: &Member| targets.iter().any(|target| target.tag == it.service);
-        // An agent that does not answer would swallow the packet.
-        likely.sort_by_key(|it| (it.is_silent(Steering::SILENCE, self.now), !is_target(it)));
+        likely.sort_by(|a, b| {
+            let domains = a.failure_domain.cmp(&b.failure_domain);
+            self.distance(a, targets)
+                .cmp(&self.distance(b, targets))
+                .then(domains)
+        });
+        let all = likely.len() <= RelayHeader::MAX_CANDIDATES;
         likely.truncate(RelayHeader::MAX_CANDIDATES);
-        likely.iter().map(|it| it.agent).collect()
+        Likely {
+            agents: likely.iter().map(|it| it.agent).collect(),
+            all,
+        }
+    }
+
+    fn distance(&self, member: &Member, targets: &[RouteTarget]) -> Distance {
+        Distance {
+            silent: member.is_silent(Steering::SILENCE, self.now),
+            other_service: !targets.iter().any(|it| it.tag == member.service),
+            far: *member.failure_domain != *self.failure_domain,
+        }
     }
 
     fn is_open(&self, member: &Member) -> bool {
--- a/arbutus-core/src/packet/registration.rs
+++ b/arbutus-core/src/packet/registration.rs
@@ -77,6 +77,8 @@
     revision: Revision,
     /// Whether the listing stands under `lease`.
     written: bool,
+    /// When the store last said that the listing stands.
+    confirmed_at: Option<Timestamp>,
     due: Timestamp,
 }
 
@@ -96,6 +98,7 @@
             lease: None,
             revision: Revision::ABSENT,
             written: false,
+            confirmed_at: None,
             due: Timestamp::ZERO,
         }
     }
@@ -110,10 +113,11 @@
         true
     }
 
-    /// Whether the listing stands, as far as is known.
+    /// Whether the agent is to be listed and the store has not confirmed it lately.
     #[must_use]
-    pub const fn is_listed(&self) -> bool {
-        self.written
+    pub fn is_unconfirmed(&self, now: Timestamp) -> bool {
+        let limit = self.ttl / Self::RENEWALS + Self::RETRY;
+        self.wanted && self.confirmed_at.is_none_or(|at| now.since(at) > limit)
     }
 
     /// What is to be done at `now`.
@@ -142,14 +146,19 @@
             }
             ListingReply::Written => {
                 self.written = true;
+                self.confirmed_at = Some(now);
                 self.due = now + self.ttl / Self::RENEWALS;
             }
             ListingReply::Conflict(revision) => self.revision = revision,
-            ListingReply::Renewed => self.due = now + self.ttl / Self::RENEWALS,
+            ListingReply::Renewed => {
+                self.confirmed_at = Some(now);
+                self.due = now + self.ttl / Self::RENEWALS;
+            }
             ListingReply::LeaseEnded => {
                 self.lease = None;
                 self.written = false;
                 self.revision = Revision::ABSENT;
+                self.confirmed_at = None;
             }
             ListingReply::Released => {
                 self.lease = None;
--- a/arbutus-core/src/packet/relay_header.rs
+++ b/arbutus-core/src/packet/relay_header.rs
@@ -17,8 +17,10 @@
     pub config: ConfigVersion,
     /// The service that may take an opening segment.
     pub service: ServiceTag,
-    /// Whether an agent told the balancer that the first candidate holds the flow.
+    /// Whether the only candidate has told the balancer that it holds the flow.
     pub known: bool,
+    /// Whether nobody but the candidates can hold the flow.
+    pub everyone: bool,
     /// At most [`RelayHeader::MAX_CANDIDATES`]; no address stands twice.
     candidates: Vec<SocketAddrV4>,
     /// Index into `candidates`; the length once all were asked.
@@ -48,6 +50,7 @@
             config: ConfigVersion::NONE,
             service: ServiceTag::default(),
             known: false,
+            everyone: false,
             candidates: kept,
             position: 0,
             marked: 0,
@@ -69,13 +72,20 @@
         self
     }
 
-    /// Says whether the first candidate is known to hold the flow.
+    /// Says whether the candidate is known to hold the flow.
     #[must_use]
     pub const fn known(mut self, known: bool) -> Self {
         self.known = known;
         self
     }
 
+    /// Says whether nobody but the candidates can hold the flow.
+    #[must_use]
+    pub const fn everyone(mut self, everyone: bool) -> Self {
+        self.everyone = everyone;
+        self
+    }
+
     /// The candidate whose turn it is.
     #[must_use]
     pub fn target(&self) -> Option<SocketAddrV4> {
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -7,6 +7,7 @@
     member::Member,
     member_table::MemberTable,
     placement::Placement,
+    view::View,
 };
 use crate::{config::ConfigVersion, time::Timestamp};
 
@@ -32,6 +33,7 @@
     config: Option<PacketConfig>,
     members: MemberTable,
     flows: FlowCache,
+    view: View,
     /// A configuration that others have; always newer than `config`.
     missed: Option<MissedConfig>,
 }
@@ -64,6 +66,9 @@
     /// Most agents that are asked at one time.
     const PROBES: usize = 16;
 
+    /// How many agents make another one known.
+    const INTRODUCERS: usize = 3;
+
     /// How long a copy of an opening segment follows the first one whatever becomes of the agent.
     const COPY_FOLLOWS: Duration = Duration::from_millis(150);
 
@@ -76,12 +81,13 @@
 
     /// Makes a balancer that knows nothing yet.
     #[must_use]
-    pub fn new(settings: SteeringSettings) -> Self {
+    pub fn new(settings: SteeringSettings, now: Timestamp) -> Self {
         Self {
             settings,
             config: None,
             members: MemberTable::default(),
             flows: FlowCache::default(),
+            view: View::new(now),
             missed: None,
         }
     }
@@ -161,11 +167,13 @@
 
     fn on_open_flow(&mut self, segment: &Segment, route: &PacketRoute, now: Timestamp) -> Steer {
         let cached = self.flows.get(&segment.flow, now);
-        let placement = self.placement(now);
-        let likely = placement.for_open_flow(segment.flow.hash(), &route.targets);
-        let first = cached.map(|it| it.agent);
-        let header = RelayHeader::new(self.settings.balancer, first.into_iter().chain(likely))
-            .known(cached.is_some_and(|it| it.confirmed));
+        let cached = cached.filter(|it| self.members.get(it.agent).is_some());
+        let header = match cached {
+            Some(it) if it.confirmed => {
+                RelayHeader::new(self.settings.balancer, [it.agent]).known(true)
+            }
+            _ => self.search(segment, route, cached.map(|it| it.agent), now),
+        };
         if header.target().is_none() {
             return Steer::Drop(SteerDrop::NoAgent);
         }
@@ -176,6 +184,20 @@
         }
     }
 
+    fn search(
+        &self,
+        segment: &Segment,
+        route: &PacketRoute,
+        first: Option<SocketAddrV4>,
+        now: Timestamp,
+    ) -> RelayHeader {
+        let placement = self.placement(now);
+        let likely = placement.for_open_flow(segment.flow.hash(), &route.targets);
+        let everyone = likely.all && self.view.is_complete(now);
+        let order = first.into_iter().chain(likely.agents);
+        RelayHeader::new(self.settings.balancer, order).everyone(everyone)
+    }
+
     /// Notes what is about to be sent.
     fn sent(&mut self, steer: Steer, version: ConfigVersion, now: Timestamp) -> Steer {
         match steer {
@@ -285,9 +307,43 @@
         self.members.report(report, now)
     }
 
+    /// Agents that are to make known one that the store does not list.
+    #[must_use]
+    pub fn introducers(&self, newcomer: SocketAddrV4) -> Vec<SocketAddrV4> {
+        if self.members.get(newcomer).is_none_or(|it| it.listed) {
+            return Vec::new();
+        }
+        let others = self.members.iter().filter(|it| it.agent != newcomer);
+        let others = others.filter(|it| it.heard_at.is_some());
+        others.map(|it| it.agent).take(Self::INTRODUCERS).collect()
+    }
+
+    /// Notes that the store answers, or that it does not.
+    pub fn on_store(&mut self, answers: bool, now: Timestamp) {
+        self.view.on_store(answers, now);
+    }
+
+    /// Whether what other balancers know need not be asked for any more.
+    #[must_use]
+    pub fn knows_peers(&self, now: Timestamp) -> bool {
+        self.view.knows_peers(now)
+    }
+
+    /// Takes in which agents another balancer knows.
+    pub fn on_peer(&mut self, agents: &[AgentListing], now: Timestamp) {
+        for agent in agents {
+            self.members.tell(agent, now);
+        }
+        self.view.on_peer(now);
+    }
+
     /// Takes in that an agent holds a flow.
-    pub fn on_holding(&mut self, agent: SocketAddrV4, flow: FlowId, now: Timestamp) {
-        self.flows.confirm(flow, agent, now);
+    pub fn on_holding(&mut self, agent: SocketAddrV4, flow: FlowId, open: bool, now: Timestamp) {
+        if open {
+            self.flows.confirm(flow, agent, now);
+        } else if !self.flows.get(&flow, now).is_some_and(|it| it.confirmed) {
+            self.flows.place(flow, agent, now);
+        }
     }
 
     /// Agents to ask for a report now; call it a few times a second.
--- /dev/null
+++ b/arbutus-core/src/packet/view.rs
@@ -0,0 +1,59 @@
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+/// How far a balancer may trust that it knows every agent that holds a flow.
+///
+/// The store lists every agent that reaches it. One that the store has turned away makes itself
+/// known to balancers by itself, and those that start later ask others.
+#[derive(Debug)]
+pub(super) struct View {
+    started_at: Timestamp,
+    /// Since when every call to the store was answered.
+    store_since: Option<Timestamp>,
+    /// When another balancer last told what it knows.
+    peer_at: Option<Timestamp>,
+}
+
+impl View {
+    /// How long the store must have answered: in this time an agent that lost its listing is back.
+    const STORE_SETTLED: Duration = Duration::from_millis(1_500);
+
+    /// How long after its start a balancer may learn of agents from others that start too.
+    const PEER_SETTLED: Duration = Duration::from_millis(800);
+
+    /// How long a balancer that finds no other one waits.
+    const ALONE: Duration = Duration::from_secs(3);
+
+    pub(super) const fn new(now: Timestamp) -> Self {
+        Self {
+            started_at: now,
+            store_since: None,
+            peer_at: None,
+        }
+    }
+
+    pub(super) fn on_store(&mut self, answers: bool, now: Timestamp) {
+        if answers {
+            self.store_since.get_or_insert(now);
+        } else {
+            self.store_since = None;
+        }
+    }
+
+    pub(super) const fn on_peer(&mut self, now: Timestamp) {
+        self.peer_at = Some(now);
+    }
+
+    /// Whether an agent that is not known holds no flow.
+    pub(super) fn is_complete(&self, now: Timestamp) -> bool {
+        let settled = |since: Timestamp| now.since(since) >= Self::STORE_SETTLED;
+        self.store_since.is_some_and(settled) && self.knows_peers(now)
+    }
+
+    /// Whether what other balancers know has been asked for late enough, or need not be.
+    pub(super) fn knows_peers(&self, now: Timestamp) -> bool {
+        let asked = |at: Timestamp| at.since(self.started_at) >= Self::PEER_SETTLED;
+        self.peer_at.is_some_and(asked) || now.since(self.started_at) >= Self::ALONE
+    }
+}
--- a/arbutus-io/src/packet/agent.rs
+++ b/arbutus-io/src/packet/agent.rs
@@ -59,7 +59,7 @@
         sockets: AgentSockets,
     ) -> Arc<Self> {
         let state = State {
-            holder: FlowHolder::new(settings.clone()),
+            holder: FlowHolder::new(settings.clone(), clock::now()),
             flow_lines: LineBudget::new(Self::LINES_PER_S),
             request_lines: LineBudget::new(Self::LINES_PER_S),
         };
@@ -97,6 +97,7 @@
                 Ok((Message::Probe { balancer }, _)) => {
                     self.state.lock().holder.on_probe(balancer, now);
                 }
+                Ok((Message::Introduced(newcomer), _)) => self.pass_introduction(newcomer),
                 Ok((Message::Report(_) | Message::Holding { .. }, _)) => {
                     self.count_drop("not-for-us");
                 }
@@ -170,7 +171,9 @@
                 let to = self.codec.caller_address(&segment.flow);
                 self.check(self.sockets.backend.send(packet, to));
             }
-            HolderAction::Reset { flow, caller_has } => {
+            HolderAction::Reset {
+                flow, caller_has, ..
+            } => {
                 self.metrics.resets.inc();
                 let reset = self.codec.reset(&flow, caller_has);
                 let to = self.codec.caller_address(&flow);
@@ -180,10 +183,19 @@
         }
     }
 
+    fn pass_introduction(&self, newcomer: AgentReport) {
+        let balancers = self.state.lock().holder.balancers();
+        let message = Message::Introduced(newcomer).encode(&[]);
+        for balancer in balancers {
+            self.check(self.sockets.peers.send(&message, balancer));
+        }
+    }
+
     fn tell(&self, balancer: SocketAddrV4, segment: &Segment) {
         let message = Message::Holding {
             agent: self.settings.agent,
             flow: segment.flow,
+            open: !segment.is_opening(),
         };
         self.check(self.sockets.peers.send(&message.encode(&[]), balancer));
     }
@@ -211,9 +223,9 @@
                     log_passed_on(&state.holder, segment, header, *reason, now);
                 }
             }
-            HolderAction::Reset { .. } => {
-                let cause = "backend server lost the flow";
-                tracing::info!(flow = %segment.flow, cause, "flow_reset");
+            HolderAction::Reset { flow, cause, .. } => {
+                let heartbeat_age_ms = heartbeat_age_ms(&state.holder, now);
+                tracing::info!(%flow, cause = cause.name(), heartbeat_age_ms, "flow_reset");
             }
             HolderAction::Drop(reason) if state.flow_lines.take(now) => {
                 let here = match reason {
@@ -328,9 +340,8 @@
     pub fn give_up_flows(&self) {
         let actions = self.state.lock().holder.give_up_flows();
         for action in actions {
-            if let HolderAction::Reset { flow, .. } = &action {
-                let cause = "backend server has ended";
-                tracing::info!(%flow, cause, "flow_reset");
+            if let HolderAction::Reset { flow, cause, .. } = &action {
+                tracing::info!(%flow, cause = cause.name(), "flow_reset");
                 let segment = Segment::new(*flow);
                 self.act(action, &segment, &[]);
             }
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -68,7 +68,7 @@
         sockets: BalancerSockets,
     ) -> Arc<Self> {
         let state = State {
-            steering: Steering::new(settings.clone()),
+            steering: Steering::new(settings.clone(), clock::now()),
             caller_at: Timestamp::ZERO,
             isolated: false,
             placed_lines: LineBudget::new(Self::LINES_PER_S),
@@ -195,16 +195,38 @@
 
     fn on_message(&self, bytes: &[u8], now: Timestamp) {
         match Message::decode(bytes) {
-            Ok((Message::Report(report), _)) => self.on_report(report, now),
-            Ok((Message::Holding { agent, flow }, _)) => {
-                self.state.lock().steering.on_holding(agent, flow, now);
+            Ok((Message::Report(report), _)) => {
+                let newcomer = report.clone();
+                if self.on_report(report, now) == MemberChange::Joined {
+                    self.introduce(newcomer);
+                }
+            }
+            Ok((Message::Holding { agent, flow, open }, _)) => {
+                let mut state = self.state.lock();
+                state.steering.on_holding(agent, flow, open, now);
+            }
+            Ok((Message::Introduced(report), _)) => {
+                self.on_report(report, now);
             }
             Ok((Message::Relay(_) | Message::Probe { .. }, _)) => self.count_drop("not-for-us"),
             Err(_) => self.count_drop("unreadable-message"),
         }
     }
 
-    fn on_report(&self, report: AgentReport, now: Timestamp) {
+    /// Has an agent that the store does not list made known to other balancers.
+    fn introduce(&self, newcomer: AgentReport) {
+        let agents = self.state.lock().steering.introducers(newcomer.agent);
+        if agents.is_empty() {
+            return;
+        }
+        tracing::info!(agent = %newcomer.agent, by = agents.len(), "agent_introduced");
+        let message = Message::Introduced(newcomer).encode(&[]);
+        for agent in agents {
+            self.send(&message, agent);
+        }
+    }
+
+    fn on_report(&self, report: AgentReport, now: Timestamp) -> MemberChange {
         let (agent, status, incarnation) = (report.agent, report.status, report.incarnation);
         let change = self.state.lock().steering.on_report(report, now);
         match change {
@@ -213,6 +235,7 @@
             ),
             MemberChange::Unchanged | MemberChange::Stale => {}
         }
+        change
     }
 
     fn on_tick(&self) {
@@ -311,13 +334,22 @@
             self.on_config(config, "peer");
         }
         let mut state = self.state.lock();
-        for listing in &snapshot.agents {
-            state.steering.on_listed(listing, now);
-        }
+        state.steering.on_peer(&snapshot.agents, now);
         drop(state);
         tracing::info!(agents, "peer_snapshot_taken");
     }
 
+    /// Notes that the store answers, or that it does not.
+    pub fn on_store(&self, answers: bool) {
+        self.state.lock().steering.on_store(answers, clock::now());
+    }
+
+    /// Whether what other balancers know need not be asked for any more.
+    #[must_use]
+    pub fn knows_peers(&self) -> bool {
+        self.state.lock().steering.knows_peers(clock::now())
+    }
+
     /// What another balancer may start from.
     #[must_use]
     pub fn snapshot(&self) -> PeerSnapshot {
