--- a/arbutus-core/src/packet.rs
+++ b/arbutus-core/src/packet.rs
@@ -3,15 +3,18 @@
 //! Callers on such a platform send segments of a connection that the system may forward but not
 //! change, so nothing in a packet tells which agent holds its flow. Two machines decide together:
 //!
-//! - [`Steering`] runs in a balancer. It places opening segments by load, remembers where flows
-//!   are held as far as agents have told it, and otherwise names candidates in rendezvous order.
+//! - [`Steering`] runs in a balancer. It places opening segments by load, and remembers where
+//!   flows are held as far as agents have told it.
 //! - [`FlowHolder`] runs in an agent, the only authority over its backend server. It takes opening
 //!   segments only while its backend server may get new work, and later segments only of flows
 //!   that its backend server holds. Anything else travels to the next candidate in the
 //!   [`RelayHeader`], whose length bounds the hops.
 //!
-//! A flow that nobody holds is met with silence. The caller is told by a reset only where the
-//! agent that held the flow has proof that its backend server has lost it.
+//! A balancer that has a packet of an open flow and does not know where the flow is asks the agents
+//! and holds the packet for as long as the answers take.
+//!
+//! The caller is told by a reset only where there is proof that no backend server holds the flow;
+//! otherwise a flow that nobody holds is met with silence.
 //!
 //! # Examples
 //!
@@ -52,6 +55,8 @@
 mod placement;
 mod registration;
 mod relay_header;
+mod search;
+mod search_step;
 mod segment;
 mod steer;
 mod steering;
@@ -72,6 +77,8 @@
 pub use peer_snapshot::PeerSnapshot;
 pub use registration::{LeaseId, ListingCall, ListingReply, ListingStep, Registration};
 pub use relay_header::RelayHeader;
+pub use search::SearchAnswer;
+pub use search_step::SearchStep;
 pub use segment::Segment;
 pub use steer::{Choice, Steer, SteerDrop};
 pub use steering::{Steering, SteeringSettings};
--- a/arbutus-core/src/packet/flow_holder.rs
+++ b/arbutus-core/src/packet/flow_holder.rs
@@ -4,7 +4,7 @@
 
 use super::{
     AgentReport, AgentStatus, BackendState, BackendWatch, FlowId, Heartbeat, HeartbeatOutcome,
-    HolderAction, HolderDrop, Refused, RelayHeader, ResetCause, Segment,
+    HolderAction, HolderDrop, Refused, RelayHeader, ResetCause, SearchAnswer, Segment,
     balancer_links::BalancerLinks,
     held_flow::{HeldFlow, Phase},
 };
@@ -175,15 +175,14 @@
 
     fn on_unknown(
         &mut self,
-        mut header: RelayHeader,
+        header: RelayHeader,
         segment: &Segment,
         now: Timestamp,
     ) -> HolderAction {
         if self.knows_all_flows() {
             return pass_on(header, segment, Refused::NotHeld);
         }
-        if !header.known && !header.is_second_round() {
-            header.mark();
+        if !header.known && !header.last_resort {
             return pass_on(header, segment, Refused::Unsure);
         }
         self.note_under_way(header, segment.flow, now);
@@ -193,6 +192,25 @@
         }
     }
 
+    /// Answers a balancer that asks for a flow whose caller has acknowledged up to `acknowledged`.
+    pub fn on_query(
+        &mut self,
+        balancer: SocketAddrV4,
+        flow: FlowId,
+        acknowledged: u32,
+        now: Timestamp,
+    ) -> SearchAnswer {
+        self.links.note(balancer, now);
+        let mut segment = Segment::new(flow);
+        segment.acknowledged = acknowledged;
+        match self.flows.get(&flow) {
+            Some(held) if held.confirms(&segment) => SearchAnswer::Holds,
+            Some(_) => SearchAnswer::Denies,
+            None if self.knows_all_flows() => SearchAnswer::Denies,
+            None => SearchAnswer::Unsure,
+        }
+    }
+
     /// Decides on a packet that the backend server sent to a caller.
     pub fn on_backend_packet(&mut self, segment: &Segment, now: Timestamp) -> HolderAction {
         self.backend.note_heard();
--- a/arbutus-core/src/packet/member.rs
+++ b/arbutus-core/src/packet/member.rs
@@ -77,9 +77,14 @@
 
     pub(super) fn hear(&mut self, report: AgentReport, now: Timestamp) {
         self.report = Some(report);
+        self.note_heard(now);
+        self.placed = 0;
+    }
+
+    /// Takes in a sign of life that is no report.
+    pub(super) fn note_heard(&mut self, now: Timestamp) {
         self.heard_at = Some(now);
         self.unanswered_since = None;
-        self.placed = 0;
     }
 
     /// Whether it has let datagrams go unanswered for longer than `limit`.
--- a/arbutus-core/src/packet/message.rs
+++ b/arbutus-core/src/packet/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{AgentReport, FlowId, RelayHeader};
+use super::{AgentReport, FlowId, RelayHeader, SearchAnswer};
 
 /// What balancers and agents send each other in a datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +23,24 @@
     /// An agent that the store does not list is made known: by a balancer to some agents, and by
     /// these to their balancers.
     Introduced(AgentReport),
+    /// A balancer asks an agent for a flow.
+    Query {
+        /// Where the answer goes.
+        balancer: SocketAddrV4,
+        /// The flow.
+        flow: FlowId,
+        /// What the caller acknowledged last.
+        acknowledged: u32,
+    },
+    /// An agent answers a query.
+    Answer {
+        /// The agent.
+        agent: SocketAddrV4,
+        /// The flow.
+        flow: FlowId,
+        /// What it says.
+        answer: SearchAnswer,
+    },
     /// A balancer asks an agent for a report.
     Probe {
         /// Where the report goes.
--- a/arbutus-core/src/packet/placement.rs
+++ b/arbutus-core/src/packet/placement.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddrV4, time::Duration};
 
-use super::{RelayHeader, RouteTarget, Steering, member::Member, member_table::MemberTable};
+use super::{RouteTarget, Steering, member::Member, member_table::MemberTable};
 use crate::{route, time::Timestamp};
 
 /// How candidates for a flow are ranked.
@@ -13,24 +13,19 @@
     pub(super) now: Timestamp,
 }
 
-/// Agents that may hold a flow.
+/// Agents that may hold an open flow.
 #[derive(Debug)]
 pub(super) struct Likely {
-    /// The likeliest first.
-    pub(super) agents: Vec<SocketAddrV4>,
-    /// Whether every agent that may hold the flow is among them.
+    /// Agents of the route's services in the balancer's failure domain.
+    pub(super) near: Vec<SocketAddrV4>,
+    /// The others that answer.
+    pub(super) far: Vec<SocketAddrV4>,
+    /// Agents that have left datagrams unanswered; they are asked, and not waited for.
+    pub(super) silent: Vec<SocketAddrV4>,
+    /// Whether every agent that may hold the flow is among those that answer.
     pub(super) all: bool,
 }
 
-/// How late an agent is asked for a flow; what stands first weighs most.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Distance {
-    /// Whether it would swallow the packet.
-    silent: bool,
-    other_service: bool,
-    far: bool,
-}
-
 /// The load of an agent as a balancer estimates it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Scored {
@@ -46,6 +41,9 @@
     /// for a balancer that does not know the flow to find them.
     const CHOICES: usize = 8;
 
+    /// Most agents that are asked for one flow.
+    const ASKED: usize = 128;
+
     /// Slots of an agent that has not said how many it has.
     const ASSUMED_SLOTS: f64 = 1.0;
 
@@ -68,33 +66,25 @@
         scored
     }
 
-    /// The agents that may hold a flow, the likeliest first, and whether these are all.
+    /// The agents that may hold an open flow of `targets`.
     ///
     /// A route's flows may be with agents of other services too, to which an earlier configuration
-    /// sent them. The nearest agents come first, and those of a failure domain together, so that
-    /// a search leaves few of them twice.
-    pub(super) fn for_open_flow(&self, flow: u64, targets: &[RouteTarget]) -> Likely {
-        let mut likely: Vec<&Member> = self.members.iter().filter(|it| it.may_hold()).collect();
-        by_rank(&mut likely, flow);
-        likely.sort_by(|a, b| {
-            let domains = a.failure_domain.cmp(&b.failure_domain);
-            self.distance(a, targets)
-                .cmp(&self.distance(b, targets))
-                .then(domains)
-        });
-        let all = likely.len() <= RelayHeader::MAX_CANDIDATES;
-        likely.truncate(RelayHeader::MAX_CANDIDATES);
+    /// sent them.
+    pub(super) fn for_search(&self, targets: &[RouteTarget]) -> Likely {
+        let holders = self.members.iter().filter(|it| it.may_hold());
+        let is_silent = |it: &&Member| it.is_silent(Steering::SILENCE, self.now);
+        let (silent, holders): (Vec<&Member>, Vec<&Member>) = holders.partition(is_silent);
+        let is_near = |it: &&Member| {
+            *it.failure_domain == *self.failure_domain
+                && targets.iter().any(|target| target.tag == it.service)
+        };
+        let (near, far): (Vec<&Member>, Vec<&Member>) = holders.into_iter().partition(is_near);
+        let room = Self::ASKED - near.len().min(Self::ASKED);
         Likely {
-            agents: likely.iter().map(|it| it.agent).collect(),
-            all,
-        }
-    }
-
-    fn distance(&self, member: &Member, targets: &[RouteTarget]) -> Distance {
-        Distance {
-            silent: member.is_silent(Steering::SILENCE, self.now),
-            other_service: !targets.iter().any(|it| it.tag == member.service),
-            far: *member.failure_domain != *self.failure_domain,
+            all: silent.is_empty() && near.len() + far.len() <= Self::ASKED,
+            silent: addresses(&silent, Self::ASKED),
+            near: addresses(&near, Self::ASKED),
+            far: addresses(&far, room),
         }
     }
 
@@ -126,6 +116,10 @@
     }
 }
 
+fn addresses(members: &[&Member], most: usize) -> Vec<SocketAddrV4> {
+    members.iter().take(most).map(|it| it.agent).collect()
+}
+
 fn by_rank(members: &mut [&Member], flow: u64) {
     members.sort_by_key(|it| std::cmp::Reverse(route::rendezvous_rank(flow, it.seed)));
 }
--- a/arbutus-core/src/packet/relay_header.rs
+++ b/arbutus-core/src/packet/relay_header.rs
@@ -6,9 +6,7 @@
 
 /// What a balancer or agent sends ahead of a relayed packet.
 ///
-/// Candidates are asked in their order. One that cannot tell whether its backend server holds the
-/// flow, because it started after its backend server, marks itself; marked candidates are asked a
-/// second time after all others, and then let their backend server decide.
+/// Candidates get the packet in their order until one keeps it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayHeader {
     /// Where the balancer that took the packet from the caller hears of the flow.
@@ -21,14 +19,12 @@
     pub known: bool,
     /// Whether nobody but the candidates can hold the flow.
     pub everyone: bool,
+    /// Whether a candidate that cannot tell lets its backend server decide.
+    pub last_resort: bool,
     /// At most [`RelayHeader::MAX_CANDIDATES`]; no address stands twice.
     candidates: Vec<SocketAddrV4>,
     /// Index into `candidates`; the length once all were asked.
     position: u8,
-    /// Bit `i` says that candidate `i` is to be asked again at the end.
-    marked: u16,
-    /// Whether marked candidates are being asked for the second time.
-    second_round: bool,
 }
 
 impl RelayHeader {
@@ -51,10 +47,9 @@
             service: ServiceTag::default(),
             known: false,
             everyone: false,
+            last_resort: false,
             candidates: kept,
             position: 0,
-            marked: 0,
-            second_round: false,
         }
     }
 
@@ -86,16 +81,17 @@
         self
     }
 
-    /// The candidate whose turn it is.
+    /// Says that candidates which cannot tell let their backend servers decide.
     #[must_use]
-    pub fn target(&self) -> Option<SocketAddrV4> {
-        self.candidates.get(usize::from(self.position)).copied()
+    pub const fn last_resort(mut self) -> Self {
+        self.last_resort = true;
+        self
     }
 
-    /// Whether the candidate must let its backend server decide.
+    /// The candidate whose turn it is.
     #[must_use]
-    pub const fn is_second_round(&self) -> bool {
-        self.second_round
+    pub fn target(&self) -> Option<SocketAddrV4> {
+        self.candidates.get(usize::from(self.position)).copied()
     }
 
     /// How many candidates have been asked before this one.
@@ -110,39 +106,13 @@
         &self.candidates
     }
 
-    /// Has the present candidate asked again after all others.
-    pub fn mark(&mut self) {
-        if !self.second_round {
-            self.marked |= Self::bit(self.position);
-        }
-    }
-
     /// Names the candidate after the present one, or nobody.
     ///
-    /// Every candidate comes at most twice, so that a packet makes a bounded number of hops.
+    /// Every candidate comes once, so that a packet makes a bounded number of hops.
     pub fn advance(&mut self) -> Option<SocketAddrV4> {
-        if !self.second_round {
-            self.position = self.position.saturating_add(1);
-            if let Some(next) = self.target() {
-                return Some(next);
-            }
-            self.second_round = true;
-        } else {
-            self.marked &= !Self::bit(self.position);
-        }
-        if self.marked == 0 {
-            self.position = u8::try_from(self.candidates.len()).unwrap_or(u8::MAX);
-            return None;
+        if usize::from(self.position) < self.candidates.len() {
+            self.position += 1;
         }
-        self.position = u8::try_from(self.marked.trailing_zeros()).unwrap_or(u8::MAX);
         self.target()
     }
-
-    const fn bit(position: u8) -> u16 {
-        if (position as usize) < Self::MAX_CANDIDATES {
-            1 << position
-        } else {
-            0
-        }
-    }
 }
--- /dev/null
+++ b/arbutus-core/src/packet/search.rs
@@ -0,0 +1,122 @@
+use std::{net::SocketAddrV4, time::Duration};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::Segment;
+use crate::time::Timestamp;
+
+/// What an agent says when it is asked for a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SearchAnswer {
+    /// Its backend server holds the flow.
+    Holds,
+    /// Its backend server does not hold the flow.
+    Denies,
+    /// It started after its backend server, which alone can tell.
+    Unsure,
+}
+
+/// A balancer's question who holds an open flow, and the packets that wait for the answer.
+#[derive(Debug)]
+pub(super) struct Search {
+    pub(super) started_at: Timestamp,
+    /// The last packet of the caller.
+    pub(super) segment: Segment,
+    /// In the order of their arrival; at most [`Search::MAX_HELD`].
+    pub(super) held: Vec<Vec<u8>>,
+    /// Every agent that was asked, with its answer.
+    asked: IndexMap<SocketAddrV4, Option<SearchAnswer>>,
+    /// Agents to ask if the first ones do not hold the flow.
+    further: Vec<SocketAddrV4>,
+    /// Whether nobody but these agents can hold the flow.
+    pub(super) everyone: bool,
+}
+
+/// Where a search stands after an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum SearchState {
+    /// Answers are missing.
+    Waiting,
+    /// These are to be asked too.
+    Ask(Vec<SocketAddrV4>),
+    /// This agent holds the flow.
+    Found(SocketAddrV4),
+    /// Nobody holds the flow unless one of these does, which cannot tell.
+    Unsure(Vec<SocketAddrV4>),
+    /// Nobody holds the flow.
+    Nobody,
+}
+
+impl Search {
+    /// Packets that wait; a caller has few under way before it hears anything.
+    const MAX_HELD: usize = 4;
+
+    /// How long answers are waited for: less than a caller waits before it sends again.
+    pub(super) const TIMEOUT: Duration = Duration::from_millis(150);
+
+    pub(super) fn new(
+        segment: &Segment,
+        first: Vec<SocketAddrV4>,
+        further: Vec<SocketAddrV4>,
+        everyone: bool,
+        now: Timestamp,
+    ) -> Self {
+        Self {
+            started_at: now,
+            segment: *segment,
+            held: Vec::new(),
+            asked: first.into_iter().map(|it| (it, None)).collect(),
+            further,
+            everyone,
+        }
+    }
+
+    pub(super) fn hold(&mut self, segment: &Segment, packet: &[u8]) {
+        self.segment = *segment;
+        if self.held.len() < Self::MAX_HELD {
+            self.held.push(packet.to_vec());
+        }
+    }
+
+    /// Takes in what an agent says.
+    pub(super) fn on_answer(&mut self, agent: SocketAddrV4, answer: SearchAnswer) -> SearchState {
+        if answer == SearchAnswer::Holds {
+            return SearchState::Found(agent);
+        }
+        if let Some(slot) = self.asked.get_mut(&agent) {
+            *slot = Some(answer);
+        }
+        if self.asked.values().any(Option::is_none) {
+            return SearchState::Waiting;
+        }
+        if !self.further.is_empty() {
+            let further = std::mem::take(&mut self.further);
+            self.asked.extend(further.iter().map(|it| (*it, None)));
+            return SearchState::Ask(further);
+        }
+        let unsure = self.unsure();
+        if unsure.is_empty() {
+            SearchState::Nobody
+        } else {
+            SearchState::Unsure(unsure)
+        }
+    }
+
+    /// Agents that could not tell.
+    pub(super) fn unsure(&self) -> Vec<SocketAddrV4> {
+        let unsure =
+            |it: &(&SocketAddrV4, &Option<SearchAnswer>)| *it.1 == Some(SearchAnswer::Unsure);
+        self.asked.iter().filter(unsure).map(|it| *it.0).collect()
+    }
+
+    /// How many agents were asked.
+    pub(super) fn asked(&self) -> usize {
+        self.asked.len()
+    }
+
+    /// How many agents have answered.
+    pub(super) fn answered(&self) -> usize {
+        self.asked.values().flatten().count()
+    }
+}
--- /dev/null
+++ b/arbutus-core/src/packet/search_step.rs
@@ -0,0 +1,40 @@
+use std::net::SocketAddrV4;
+
+use super::{FlowId, RelayHeader};
+
+/// What a balancer does next about a flow that it searches.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SearchStep {
+    /// Nothing.
+    Wait,
+    /// Ask these agents too.
+    Ask {
+        /// The agents.
+        agents: Vec<SocketAddrV4>,
+        /// What the caller acknowledged last.
+        acknowledged: u32,
+    },
+    /// Send the packets that waited to the header's present candidate.
+    Relay {
+        /// What goes ahead of the packets.
+        header: RelayHeader,
+        /// The packets.
+        packets: Vec<Vec<u8>>,
+    },
+    /// Tell the caller that nobody holds the flow.
+    Reset {
+        /// The flow.
+        flow: FlowId,
+        /// What the caller acknowledged last.
+        caller_has: u32,
+        /// How many agents have denied it.
+        denied: usize,
+    },
+    /// Nobody known holds the flow, and others may.
+    GiveUp {
+        /// How many agents were asked.
+        asked: usize,
+        /// How many of them answered.
+        answered: usize,
+    },
+}
--- a/arbutus-core/src/packet/steer.rs
+++ b/arbutus-core/src/packet/steer.rs
@@ -11,9 +11,11 @@
         header: RelayHeader,
         /// Set where the packet was the first of a new flow here.
         placed: Option<Choice>,
-        /// Whether nothing was known of the flow, which is open.
-        searched: bool,
     },
+    /// Ask these agents who holds the flow; the packet is held.
+    Ask(Vec<SocketAddrV4>),
+    /// The packet is held until the agents have answered.
+    Held,
     /// Nobody gets it.
     Drop(SteerDrop),
 }
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -1,12 +1,15 @@
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
+use indexmap::IndexMap;
+
 use super::{
     AgentListing, AgentReport, Choice, FlowId, MemberChange, PacketConfig, PacketRoute,
-    PeerSnapshot, RelayHeader, Segment, Steer, SteerDrop,
+    PeerSnapshot, RelayHeader, SearchAnswer, SearchStep, Segment, Steer, SteerDrop,
     flow_cache::{CachedFlow, FlowCache},
     member::Member,
     member_table::MemberTable,
     placement::Placement,
+    search::{Search, SearchState},
     view::View,
 };
 use crate::{config::ConfigVersion, time::Timestamp};
@@ -33,6 +36,8 @@
     config: Option<PacketConfig>,
     members: MemberTable,
     flows: FlowCache,
+    /// At most [`Steering::MAX_SEARCHES`].
+    searches: IndexMap<FlowId, Search>,
     view: View,
     /// A configuration that others have; always newer than `config`.
     missed: Option<MissedConfig>,
@@ -66,6 +71,9 @@
     /// Most agents that are asked at one time.
     const PROBES: usize = 16;
 
+    /// Most flows that are searched at one time.
+    const MAX_SEARCHES: usize = 4_096;
+
     /// How many agents make another one known.
     const INTRODUCERS: usize = 3;
 
@@ -87,13 +95,14 @@
             config: None,
             members: MemberTable::default(),
             flows: FlowCache::default(),
+            searches: IndexMap::new(),
             view: View::new(now),
             missed: None,
         }
     }
 
     /// Decides on a packet of a caller.
-    pub fn on_packet(&mut self, segment: &Segment, now: Timestamp) -> Steer {
+    pub fn on_packet(&mut self, segment: &Segment, packet: &[u8], now: Timestamp) -> Steer {
         if segment.is_accepting() {
             return Steer::Drop(SteerDrop::NotACaller);
         }
@@ -107,7 +116,7 @@
         let steer = if segment.is_opening() {
             self.on_opening(segment, &route, now)
         } else {
-            self.on_open_flow(segment, &route, now)
+            self.on_open_flow(segment, packet, &route, now)
         };
         self.sent(steer, version, now)
     }
@@ -133,7 +142,6 @@
             return Steer::Relay {
                 header,
                 placed: None,
-                searched: false,
             };
         }
         let best = scored.first();
@@ -152,7 +160,6 @@
         Steer::Relay {
             header,
             placed: Some(choice),
-            searched: false,
         }
     }
 
@@ -165,47 +172,175 @@
         heard.is_some_and(|it| it.takes_flows() && !it.is_silent(Self::COPY_FOLLOWS, now))
     }
 
-    fn on_open_flow(&mut self, segment: &Segment, route: &PacketRoute, now: Timestamp) -> Steer {
+    fn on_open_flow(
+        &mut self,
+        segment: &Segment,
+        packet: &[u8],
+        route: &PacketRoute,
+        now: Timestamp,
+    ) -> Steer {
         let cached = self.flows.get(&segment.flow, now);
         let cached = cached.filter(|it| self.members.get(it.agent).is_some());
-        let header = match cached {
-            Some(it) if it.confirmed => {
-                RelayHeader::new(self.settings.balancer, [it.agent]).known(true)
-            }
-            _ => self.search(segment, route, cached.map(|it| it.agent), now),
+        let Some(cached) = cached else {
+            return self.search(segment, packet, route, now);
         };
-        if header.target().is_none() {
-            return Steer::Drop(SteerDrop::NoAgent);
-        }
+        let others = if cached.confirmed {
+            Vec::new()
+        } else {
+            self.others(segment, route, now)
+        };
+        let order = std::iter::once(cached.agent).chain(others);
+        let header = RelayHeader::new(self.settings.balancer, order).known(cached.confirmed);
         Steer::Relay {
             header,
             placed: None,
-            searched: cached.is_none(),
         }
     }
 
+    /// Where an opening segment may have gone after the first agent refused it.
+    fn others(&self, segment: &Segment, route: &PacketRoute, now: Timestamp) -> Vec<SocketAddrV4> {
+        let hash = segment.flow.hash();
+        let target = route.target(hash);
+        let scored = target.map(|it| self.placement(now).for_opening(hash, it));
+        let scored = scored.unwrap_or_default();
+        scored.into_iter().map(|it| it.agent).collect()
+    }
+
     fn search(
-        &self,
+        &mut self,
         segment: &Segment,
+        packet: &[u8],
         route: &PacketRoute,
-        first: Option<SocketAddrV4>,
         now: Timestamp,
-    ) -> RelayHeader {
-        let placement = self.placement(now);
-        let likely = placement.for_open_flow(segment.flow.hash(), &route.targets);
+    ) -> Steer {
+        if let Some(search) = self.searches.get_mut(&segment.flow) {
+            search.hold(segment, packet);
+            return Steer::Held;
+        }
+        let likely = self.placement(now).for_search(&route.targets);
         let everyone = likely.all && self.view.is_complete(now);
-        let order = first.into_iter().chain(likely.agents);
-        RelayHeader::new(self.settings.balancer, order).everyone(everyone)
+        let (first, further) = if likely.near.is_empty() {
+            (likely.far, Vec::new())
+        } else {
+            (likely.near, likely.far)
+        };
+        let asked: Vec<_> = first.iter().chain(&likely.silent).copied().collect();
+        if first.is_empty() || self.searches.len() >= Self::MAX_SEARCHES {
+            return Steer::Drop(SteerDrop::NoAgent);
+        }
+        let mut search = Search::new(segment, first, further, everyone, now);
+        search.hold(segment, packet);
+        self.searches.insert(segment.flow, search);
+        self.note_asked(&asked, now);
+        Steer::Ask(asked)
+    }
+
+    fn note_asked(&mut self, agents: &[SocketAddrV4], now: Timestamp) {
+        for agent in agents {
+            if let Some(member) = self.members.get_mut(*agent) {
+                member.note_sent(now);
+            }
+        }
+    }
+
+    /// Takes in an agent's answer to a search.
+    pub fn on_answer(
+        &mut self,
+        agent: SocketAddrV4,
+        flow: FlowId,
+        answer: SearchAnswer,
+        now: Timestamp,
+    ) -> SearchStep {
+        if let Some(member) = self.members.get_mut(agent) {
+            member.note_heard(now);
+        }
+        let Some(search) = self.searches.get_mut(&flow) else {
+            return SearchStep::Wait;
+        };
+        match search.on_answer(agent, answer) {
+            SearchState::Waiting => SearchStep::Wait,
+            SearchState::Ask(agents) => {
+                let acknowledged = search.segment.acknowledged;
+                self.note_asked(&agents, now);
+                SearchStep::Ask {
+                    agents,
+                    acknowledged,
+                }
+            }
+            SearchState::Found(agent) => {
+                self.flows.confirm(flow, agent, now);
+                let header = RelayHeader::new(self.settings.balancer, [agent]).known(true);
+                self.end_search(&flow, header)
+            }
+            SearchState::Unsure(agents) => {
+                let everyone = search.everyone && agents.len() <= RelayHeader::MAX_CANDIDATES;
+                let header = RelayHeader::new(self.settings.balancer, agents)
+                    .everyone(everyone)
+                    .last_resort();
+                self.end_search(&flow, header)
+            }
+            SearchState::Nobody => self.end_in_vain(&flow),
+        }
+    }
+
+    fn end_search(&mut self, flow: &FlowId, header: RelayHeader) -> SearchStep {
+        let search = self.searches.swap_remove(flow);
+        SearchStep::Relay {
+            header: header.config(self.config_version()),
+            packets: search.map(|it| it.held).unwrap_or_default(),
+        }
+    }
+
+    fn end_in_vain(&mut self, flow: &FlowId) -> SearchStep {
+        let Some(search) = self.searches.swap_remove(flow) else {
+            return SearchStep::Wait;
+        };
+        let segment = search.segment;
+        if search.everyone && segment.payload > 0 && !segment.resets {
+            return SearchStep::Reset {
+                flow: *flow,
+                caller_has: segment.acknowledged,
+                denied: search.answered(),
+            };
+        }
+        SearchStep::GiveUp {
+            asked: search.asked(),
+            answered: search.answered(),
+        }
+    }
+
+    /// Ends the searches that have lasted too long; packets that waited go to the agents that could
+    /// not tell, if there are any.
+    pub fn expire_searches(&mut self, now: Timestamp) -> Vec<(FlowId, SearchStep)> {
+        let late = |it: &Search| now.since(it.started_at) >= Search::TIMEOUT;
+        let flows: Vec<_> = self
+            .searches
+            .iter()
+            .filter(|(_, it)| late(it))
+            .map(|(flow, it)| (*flow, it.unsure()))
+            .collect();
+        flows
+            .into_iter()
+            .map(|(flow, unsure)| (flow, self.end_late(&flow, unsure)))
+            .collect()
+    }
+
+    fn end_late(&mut self, flow: &FlowId, unsure: Vec<SocketAddrV4>) -> SearchStep {
+        if !unsure.is_empty() {
+            let header = RelayHeader::new(self.settings.balancer, unsure).last_resort();
+            return self.end_search(flow, header);
+        }
+        let search = self.searches.swap_remove(flow);
+        search.map_or(SearchStep::Wait, |it| SearchStep::GiveUp {
+            asked: it.asked(),
+            answered: it.answered(),
+        })
     }
 
     /// Notes what is about to be sent.
     fn sent(&mut self, steer: Steer, version: ConfigVersion, now: Timestamp) -> Steer {
         match steer {
-            Steer::Relay {
-                header,
-                placed,
-                searched,
-            } => {
+            Steer::Relay { header, placed } => {
                 let agent = header.target();
                 if let Some(member) = agent.and_then(|it| self.members.get_mut(it)) {
                     member.note_sent(now);
@@ -213,10 +348,9 @@
                 Steer::Relay {
                     header: header.config(version),
                     placed,
-                    searched,
                 }
             }
-            Steer::Drop(reason) => Steer::Drop(reason),
+            Steer::Ask(_) | Steer::Held | Steer::Drop(_) => steer,
         }
     }
 
--- a/arbutus-io/src/metrics/packet_balancer_metrics.rs
+++ b/arbutus-io/src/metrics/packet_balancer_metrics.rs
@@ -12,8 +12,10 @@
     pub relayed: Counter,
     /// New flows placed.
     pub placed: Counter,
-    /// Packets of open flows about which nothing was known.
+    /// Open flows that were asked for.
     pub searched: Counter,
+    /// Flows given up because nobody holds them.
+    pub resets: Counter,
     /// Packets dropped, by reason.
     pub dropped: Family<ReasonLabel, Counter>,
     /// Datagrams that the kernel did not take.
@@ -38,6 +40,7 @@
             relayed: Counter::default(),
             placed: Counter::default(),
             searched: Counter::default(),
+            resets: Counter::default(),
             dropped: Family::default(),
             send_failed: Counter::default(),
             agents: Gauge::default(),
@@ -61,10 +64,15 @@
             self.placed.clone(),
         );
         registry.register(
-            "arbutus_searched_packets",
-            "Packets of open flows about which nothing was known",
+            "arbutus_searched_flows",
+            "Open flows that were asked for",
             self.searched.clone(),
         );
+        registry.register(
+            "arbutus_flow_resets",
+            "Flows given up because nobody holds them",
+            self.resets.clone(),
+        );
         registry.register(
             "arbutus_dropped_packets",
             "Packets dropped",
--- a/arbutus-io/src/packet/agent.rs
+++ b/arbutus-io/src/packet/agent.rs
@@ -2,7 +2,7 @@
 
 use arbutus_core::{
     packet::{
-        AgentReport, FlowHolder, Heartbeat, HeartbeatOutcome, HolderAction, HolderDrop,
+        AgentReport, FlowHolder, FlowId, Heartbeat, HeartbeatOutcome, HolderAction, HolderDrop,
         HolderSettings, Message, Refused, RelayHeader, Segment,
     },
     time::Timestamp,
@@ -97,8 +97,16 @@
                 Ok((Message::Probe { balancer }, _)) => {
                     self.state.lock().holder.on_probe(balancer, now);
                 }
+                Ok((
+                    Message::Query {
+                        balancer,
+                        flow,
+                        acknowledged,
+                    },
+                    _,
+                )) => self.on_query(balancer, flow, acknowledged, now),
                 Ok((Message::Introduced(newcomer), _)) => self.pass_introduction(newcomer),
-                Ok((Message::Report(_) | Message::Holding { .. }, _)) => {
+                Ok((Message::Report(_) | Message::Holding { .. } | Message::Answer { .. }, _)) => {
                     self.count_drop("not-for-us");
                 }
                 Err(_) => self.count_drop("unreadable-message"),
@@ -106,6 +114,18 @@
         }
     }
 
+    fn on_query(&self, balancer: SocketAddrV4, flow: FlowId, acknowledged: u32, now: Timestamp) {
+        let mut state = self.state.lock();
+        let answer = state.holder.on_query(balancer, flow, acknowledged, now);
+        drop(state);
+        let message = Message::Answer {
+            agent: self.settings.agent,
+            flow,
+            answer,
+        };
+        self.check(self.sockets.peers.send(&message.encode(&[]), balancer));
+    }
+
     fn on_relayed(&self, header: RelayHeader, packet: &[u8], now: Timestamp) {
         let segment = match self.codec.from_caller(packet) {
             Ok(decoded) => decoded.segment,
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -2,8 +2,9 @@
 
 use arbutus_core::{
     packet::{
-        AgentListing, AgentReport, Choice, MemberChange, Message, PacketConfig, PeerSnapshot,
-        Segment, Steer, SteerDrop, Steering, SteeringSettings,
+        AgentListing, AgentReport, Choice, FlowId, MemberChange, Message, PacketConfig,
+        PeerSnapshot, RelayHeader, ResetCause, SearchAnswer, SearchStep, Segment, Steer, SteerDrop,
+        Steering, SteeringSettings,
     },
     time::Timestamp,
 };
@@ -116,28 +117,92 @@
         };
         let mut state = self.state.lock();
         state.caller_at = now;
-        match state.steering.on_packet(&segment, now) {
-            Steer::Relay {
-                header,
-                placed,
-                searched,
-            } => {
+        match state.steering.on_packet(&segment, packet, now) {
+            Steer::Relay { header, placed } => {
                 if let Some(choice) = placed {
                     self.log_placed(&mut state, &segment, &choice, now);
                 }
-                if searched {
-                    self.log_searched(&mut state, &segment, header.candidates().len(), now);
-                }
                 drop(state);
                 if let Some(agent) = header.target() {
                     self.metrics.relayed.inc();
                     self.send(&Message::Relay(header).encode(packet), agent);
                 }
             }
+            Steer::Ask(agents) => {
+                self.log_searched(&mut state, &segment, agents.len(), now);
+                drop(state);
+                self.ask(segment.flow, segment.acknowledged, &agents);
+            }
+            Steer::Held => {}
             Steer::Drop(reason) => self.log_dropped(&mut state, &segment, reason, now),
         }
     }
 
+    fn ask(&self, flow: FlowId, acknowledged: u32, agents: &[SocketAddrV4]) {
+        let query = Message::Query {
+            balancer: self.settings.balancer,
+            flow,
+            acknowledged,
+        };
+        let query = query.encode(&[]);
+        for agent in agents {
+            self.send(&query, *agent);
+        }
+    }
+
+    fn on_answer(&self, agent: SocketAddrV4, flow: FlowId, answer: SearchAnswer, now: Timestamp) {
+        let mut state = self.state.lock();
+        let step = state.steering.on_answer(agent, flow, answer, now);
+        drop(state);
+        self.carry_out(flow, step, now);
+    }
+
+    fn carry_out(&self, flow: FlowId, step: SearchStep, now: Timestamp) {
+        match step {
+            SearchStep::Wait => {}
+            SearchStep::Ask {
+                agents,
+                acknowledged,
+            } => self.ask(flow, acknowledged, &agents),
+            SearchStep::Relay { header, packets } => {
+                self.log_found(&flow, &header, now);
+                let Some(agent) = header.target() else {
+                    return;
+                };
+                let message = Message::Relay(header);
+                for packet in packets {
+                    self.metrics.relayed.inc();
+                    self.send(&message.encode(&packet), agent);
+                }
+            }
+            SearchStep::Reset {
+                flow,
+                caller_has,
+                denied,
+            } => {
+                self.metrics.resets.inc();
+                let cause = ResetCause::NobodyHolds.name();
+                tracing::info!(%flow, cause, denied, "flow_reset");
+                let reset = self.codec.reset(&flow, caller_has);
+                self.send(&reset, self.codec.caller_address(&flow));
+            }
+            SearchStep::GiveUp { asked, answered } => {
+                self.count_drop("not-found");
+                if self.state.lock().searched_lines.take(now) {
+                    tracing::info!(%flow, asked, answered, "flow_not_found");
+                }
+            }
+        }
+    }
+
+    fn log_found(&self, flow: &FlowId, header: &RelayHeader, now: Timestamp) {
+        if self.state.lock().searched_lines.take(now) {
+            let (agents, known) = (header.candidates().len(), header.known);
+            let agent = header.target();
+            tracing::info!(%flow, ?agent, agents, known, "flow_found");
+        }
+    }
+
     fn log_placed(&self, state: &mut State, segment: &Segment, choice: &Choice, now: Timestamp) {
         self.metrics.placed.inc();
         if !state.placed_lines.take(now) {
@@ -205,10 +270,20 @@
                 let mut state = self.state.lock();
                 state.steering.on_holding(agent, flow, open, now);
             }
+            Ok((
+                Message::Answer {
+                    agent,
+                    flow,
+                    answer,
+                },
+                _,
+            )) => self.on_answer(agent, flow, answer, now),
             Ok((Message::Introduced(report), _)) => {
                 self.on_report(report, now);
             }
-            Ok((Message::Relay(_) | Message::Probe { .. }, _)) => self.count_drop("not-for-us"),
+            Ok((Message::Relay(_) | Message::Probe { .. } | Message::Query { .. }, _)) => {
+                self.count_drop("not-for-us")
+            }
             Err(_) => self.count_drop("unreadable-message"),
         }
     }
@@ -243,6 +318,7 @@
         let mut state = self.state.lock();
         let gone = state.steering.expire(now);
         let probes = state.steering.probes(now);
+        let searches = state.steering.expire_searches(now);
         let isolated = state.steering.is_isolated(now);
         let turned = isolated != state.isolated;
         state.isolated = isolated;
@@ -267,6 +343,9 @@
             let [placed, searched, dropped] = left_out;
             tracing::info!(placed, searched, dropped, "lines_left_out");
         }
+        for (flow, step) in searches {
+            self.carry_out(flow, step, now);
+        }
         let balancer = self.settings.balancer;
         let probe = Message::Probe { balancer }.encode(&[]);
         for agent in probes {
