feat(core): new flows pass by busy backend servers; a new balancer's view settles sooner

An agent with twice its slots in hand sends a first opening segment on, with four times its slots a copy too.

--- a/arbutus-core/src/packet/flow_holder.rs
+++ b/arbutus-core/src/packet/flow_holder.rs
@@ -68,6 +68,12 @@
     /// How long the backend server may take to turn a packet away.
     const UNDER_WAY: Duration = Duration::from_secs(2);
 
+    /// Requests in hand for each slot from which a new flow is passed on.
+    const IN_HAND_FIRST: u32 = 2;
+
+    /// The same for a caller that has waited and sent its opening segment again.
+    const IN_HAND_COPY: u32 = 4;
+
     /// Most flows that are known: some 16 MB.
     const MAX_FLOWS: usize = 65_536;
 
@@ -123,7 +129,7 @@
         let held = self.flows.get(&segment.flow).copied();
         let copy = held.filter(|it| it.ended_at.is_none());
         if copy.is_none() {
-            if let Some(reason) = self.refuses(&header, now) {
+            if let Some(reason) = self.refuses(&header, segment, now) {
                 return pass_on(header, segment, reason);
             }
             self.make_room();
@@ -140,7 +146,7 @@
     }
 
     /// Why a new flow is not taken.
-    fn refuses(&self, header: &RelayHeader, now: Timestamp) -> Option<Refused> {
+    fn refuses(&self, header: &RelayHeader, segment: &Segment, now: Timestamp) -> Option<Refused> {
         if header.service != self.tag {
             return Some(Refused::OtherService);
         }
@@ -153,7 +159,24 @@
         if !self.backend.takes_flows(now) {
             return Some(Refused::Unresponsive);
         }
-        None
+        // The caller sends copies: by then others have been asked too.
+        let copies = segment.acknowledged;
+        let limit = if copies == 0 {
+            Self::IN_HAND_FIRST
+        } else {
+            Self::IN_HAND_COPY
+        };
+        (self.in_hand() >= self.slots().saturating_mul(limit)).then_some(Refused::Busy)
+    }
+
+    /// Requests that the backend server works on or that wait there, with those that new flows are
+    /// about to bring.
+    fn in_hand(&self) -> u32 {
+        count(self.flows.values().filter(|it| it.is_in_hand()).count())
+    }
+
+    fn slots(&self) -> u32 {
+        self.backend.last().map_or(1, |it| it.slots.max(1))
     }
 
     fn on_later(&mut self, header: RelayHeader, segment: &Segment, now: Timestamp) -> HolderAction {
@@ -327,7 +350,7 @@
             incarnation: self.settings.incarnation,
             sequence: self.sequence,
             status: self.status(now),
-            slots: self.backend.last().map_or(1, |it| it.slots),
+            slots: self.slots(),
             flows: count(open.count()),
             waiting: count(waiting.count()),
             warmup_ms: u32::try_from(self.backend.warmup_left(now).as_millis()).unwrap_or(u32::MAX),
--- a/arbutus-core/src/packet/held_flow.rs
+++ b/arbutus-core/src/packet/held_flow.rs
@@ -114,6 +114,14 @@
         self.phase == Phase::Open && self.ended_at.is_none()
     }
 
+    /// Whether a request is under way on it, or about to be.
+    pub(super) const fn is_in_hand(&self) -> bool {
+        match self.phase {
+            Phase::Asked | Phase::Accepted(_) => self.ended_at.is_none(),
+            Phase::Open => self.waiting_since.is_some(),
+        }
+    }
+
     pub(super) fn is_over(&self, idle: Duration, now: Timestamp) -> bool {
         if let Some(at) = self.ended_at {
             return now.since(at) >= Self::LINGER;
--- a/arbutus-core/src/packet/holder_action.rs
+++ b/arbutus-core/src/packet/holder_action.rs
@@ -72,6 +72,8 @@
     NotReady,
     /// The backend server does not answer opening segments.
     Unresponsive,
+    /// The backend server has as many requests in hand as others should share.
+    Busy,
     /// The agent stops.
     Stopping,
     /// The route does not lead to the agent's service.
@@ -101,6 +103,7 @@
             Self::NotHeld => "not-held",
             Self::NotReady => "not-ready",
             Self::Unresponsive => "unresponsive",
+            Self::Busy => "busy",
             Self::Stopping => "stopping",
             Self::OtherService => "other-service",
             Self::Bounced => "bounced",
--- a/arbutus-core/src/packet/view.rs
+++ b/arbutus-core/src/packet/view.rs
@@ -11,16 +11,22 @@
     started_at: Timestamp,
     /// Since when every call to the store was answered.
     store_since: Option<Timestamp>,
+    /// Whether the store has been away since the start.
+    store_was_lost: bool,
     /// When another balancer last told what it knows.
     peer_at: Option<Timestamp>,
 }
 
 impl View {
-    /// How long the store must have answered: in this time an agent that lost its listing is back.
-    const STORE_SETTLED: Duration = Duration::from_millis(1_500);
+    /// How long the store must have answered after the start: two introductions of an agent that it
+    /// does not list.
+    const STORE_SETTLED: Duration = Duration::from_millis(700);
+
+    /// How long it must have answered after it was away: by then agents are listed again.
+    const STORE_REGAINED: Duration = Duration::from_millis(2_500);
 
     /// How long after its start a balancer may learn of agents from others that start too.
-    const PEER_SETTLED: Duration = Duration::from_millis(800);
+    const PEER_SETTLED: Duration = Duration::from_millis(600);
 
     /// How long a balancer that finds no other one waits.
     const ALONE: Duration = Duration::from_secs(3);
@@ -29,6 +35,7 @@
         Self {
             started_at: now,
             store_since: None,
+            store_was_lost: false,
             peer_at: None,
         }
     }
@@ -38,6 +45,7 @@
             self.store_since.get_or_insert(now);
         } else {
             self.store_since = None;
+            self.store_was_lost = true;
         }
     }
 
@@ -47,7 +55,12 @@
 
     /// Whether an agent that is not known holds no flow.
     pub(super) fn is_complete(&self, now: Timestamp) -> bool {
-        let settled = |since: Timestamp| now.since(since) >= Self::STORE_SETTLED;
+        let limit = if self.store_was_lost {
+            Self::STORE_REGAINED
+        } else {
+            Self::STORE_SETTLED
+        };
+        let settled = |since: Timestamp| now.since(since) >= limit;
         self.store_since.is_some_and(settled) && self.knows_peers(now)
     }
 
