feat(core): agents that cannot tell try at once

They try side by side, remember what was denied, and answer the balancer; they try only where every known agent answers, so that a flow's packets do not reach other backend servers alone. Ruled out: telling a common start from clocks (their bases are drawn anew at a power loss).

--- a/arbutus-core/src/packet/flow_holder.rs
+++ b/arbutus-core/src/packet/flow_holder.rs
@@ -44,6 +44,8 @@
     tag: ServiceTag,
     backend: BackendWatch,
     flows: IndexMap<FlowId, HeldFlow>,
+    /// Open flows that the backend server turned away, and when.
+    denied: IndexMap<FlowId, Timestamp>,
     /// Headers of packets that the backend server may turn away.
     under_way: IndexMap<FlowId, UnderWay>,
     links: BalancerLinks,
@@ -74,6 +76,9 @@
     /// The same for a caller that has waited and sent its opening segment again.
     const IN_HAND_COPY: u32 = 4;
 
+    /// How long it is remembered that the backend server does not hold a flow.
+    const DENIED: Duration = Duration::from_secs(10);
+
     /// Most flows that are known: some 16 MB.
     const MAX_FLOWS: usize = 65_536;
 
@@ -90,6 +95,7 @@
             settings,
             backend,
             flows: IndexMap::new(),
+            denied: IndexMap::new(),
             under_way: IndexMap::new(),
             links: BalancerLinks::default(),
             sequence: 0,
@@ -229,7 +235,9 @@
         match self.flows.get(&flow) {
             Some(held) if held.confirms(&segment) => SearchAnswer::Holds,
             Some(_) => SearchAnswer::Denies,
-            None if self.knows_all_flows() => SearchAnswer::Denies,
+            None if self.knows_all_flows() || self.denied.contains_key(&flow) => {
+                SearchAnswer::Denies
+            }
             None => SearchAnswer::Unsure,
         }
     }
@@ -237,8 +245,11 @@
     /// Decides on a packet that the backend server sent to a caller.
     pub fn on_backend_packet(&mut self, segment: &Segment, now: Timestamp) -> HolderAction {
         self.backend.note_heard();
+        let mut tell = None;
         if !self.flows.contains_key(&segment.flow) {
             self.make_room();
+            let tried = self.under_way.get(&segment.flow);
+            tell = tried.map(|it| it.header.balancer);
         }
         let phase = if segment.is_accepting() {
             Phase::Asked
@@ -248,7 +259,10 @@
         let held = self.flows.entry(segment.flow);
         let held = held.or_insert_with(|| HeldFlow::new(phase, now));
         let answered_after = held.from_backend(segment, now);
-        HolderAction::ToCaller { answered_after }
+        HolderAction::ToCaller {
+            answered_after,
+            tell,
+        }
     }
 
     /// Decides on a caller's packet that the backend server turned away.
@@ -272,13 +286,24 @@
             }
         }
         match under_way {
-            Some(it) if now.since(it.at) < Self::UNDER_WAY => {
-                pass_on(it.header, segment, Refused::Bounced)
-            }
+            Some(it) if now.since(it.at) < Self::UNDER_WAY => self.turned_away(it, segment, now),
             _ => HolderAction::Drop(HolderDrop::UnknownBounce),
         }
     }
 
+    fn turned_away(&mut self, it: UnderWay, segment: &Segment, now: Timestamp) -> HolderAction {
+        if !it.header.last_resort {
+            return pass_on(it.header, segment, Refused::Bounced);
+        }
+        if self.denied.len() >= Self::MAX_FLOWS {
+            self.denied.swap_remove_index(0);
+        }
+        self.denied.insert(segment.flow, now);
+        HolderAction::Deny {
+            balancer: it.header.balancer,
+        }
+    }
+
     /// Takes in a heartbeat of the backend server.
     pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Timestamp) -> HeartbeatOutcome {
         let outcome = self.backend.on_heartbeat(heartbeat, now);
@@ -376,6 +401,7 @@
     pub fn expire(&mut self, now: Timestamp) {
         let idle = self.settings.idle;
         self.flows.retain(|_, it| !it.is_over(idle, now));
+        self.denied.retain(|_, at| now.since(*at) < Self::DENIED);
         self.under_way
             .retain(|_, it| now.since(it.at) < Self::UNDER_WAY);
     }
@@ -433,24 +459,18 @@
     (!header.known || header.hops() > 0).then_some(header.balancer)
 }
 
-/// Sends a packet to the next candidate; where all have been asked that could hold an open flow,
-/// its caller is told.
+/// Sends a packet to the next candidate; where the only one was known to hold an open flow, its
+/// caller is told.
 fn pass_on(mut header: RelayHeader, segment: &Segment, reason: Refused) -> HolderAction {
     if header.advance().is_some() {
         return HolderAction::PassOn { header, reason };
     }
-    let waits = segment.payload > 0 && !segment.resets;
-    let cause = match (header.known, header.everyone) {
-        (true, _) => ResetCause::BackendReplaced,
-        (_, true) => ResetCause::NobodyHolds,
-        (false, false) => return HolderAction::Drop(HolderDrop::NobodyLeft(reason)),
-    };
-    if segment.is_opening() || !waits {
+    if !header.known || segment.is_opening() || !segment.expects_answer() {
         return HolderAction::Drop(HolderDrop::NobodyLeft(reason));
     }
     HolderAction::Reset {
         flow: segment.flow,
         caller_has: segment.acknowledged,
-        cause,
+        cause: ResetCause::BackendReplaced,
     }
 }
--- a/arbutus-core/src/packet/holder_action.rs
+++ b/arbutus-core/src/packet/holder_action.rs
@@ -23,6 +23,13 @@
     ToCaller {
         /// How long the caller has waited, where this is the first of an answer.
         answered_after: Option<Duration>,
+        /// Set where a balancer does not know that the flow is here.
+        tell: Option<SocketAddrV4>,
+    },
+    /// Tell the balancer that asked that the flow is not here.
+    Deny {
+        /// The balancer.
+        balancer: SocketAddrV4,
     },
     /// Tell the caller that the flow is gone.
     Reset {
--- a/arbutus-core/src/packet/relay_header.rs
+++ b/arbutus-core/src/packet/relay_header.rs
@@ -17,9 +17,7 @@
     pub service: ServiceTag,
     /// Whether the only candidate has told the balancer that it holds the flow.
     pub known: bool,
-    /// Whether nobody but the candidates can hold the flow.
-    pub everyone: bool,
-    /// Whether a candidate that cannot tell lets its backend server decide.
+    /// Whether the only candidate, which cannot tell, lets its backend server decide.
     pub last_resort: bool,
     /// At most [`RelayHeader::MAX_CANDIDATES`]; no address stands twice.
     candidates: Vec<SocketAddrV4>,
@@ -46,7 +44,6 @@
             config: ConfigVersion::NONE,
             service: ServiceTag::default(),
             known: false,
-            everyone: false,
             last_resort: false,
             candidates: kept,
             position: 0,
@@ -74,14 +71,7 @@
         self
     }
 
-    /// Says whether nobody but the candidates can hold the flow.
-    #[must_use]
-    pub const fn everyone(mut self, everyone: bool) -> Self {
-        self.everyone = everyone;
-        self
-    }
-
-    /// Says that candidates which cannot tell let their backend servers decide.
+    /// Says that the candidate lets its backend server decide.
     #[must_use]
     pub const fn last_resort(mut self) -> Self {
         self.last_resort = true;
--- a/arbutus-core/src/packet/search.rs
+++ b/arbutus-core/src/packet/search.rs
@@ -29,8 +29,12 @@
     asked: IndexMap<SocketAddrV4, Option<SearchAnswer>>,
     /// Agents to ask if the first ones do not hold the flow.
     further: Vec<SocketAddrV4>,
-    /// Whether nobody but these agents can hold the flow.
+    /// Whether every known agent that may hold the flow is asked.
+    all: bool,
+    /// Whether, besides, nobody else can hold it.
     pub(super) everyone: bool,
+    /// Whether agents that cannot tell have been given the packets.
+    tried: bool,
 }
 
 /// Where a search stands after an answer.
@@ -42,8 +46,8 @@
     Ask(Vec<SocketAddrV4>),
     /// This agent holds the flow.
     Found(SocketAddrV4),
-    /// Nobody holds the flow unless one of these does, which cannot tell.
-    Unsure(Vec<SocketAddrV4>),
+    /// Nobody holds the flow unless one of these does, which cannot tell; they are to try.
+    Try(Vec<SocketAddrV4>),
     /// Nobody holds the flow.
     Nobody,
 }
@@ -53,13 +57,12 @@
     const MAX_HELD: usize = 4;
 
     /// How long answers are waited for: less than a caller waits before it sends again.
-    pub(super) const TIMEOUT: Duration = Duration::from_millis(150);
+    pub(super) const TIMEOUT: Duration = Duration::from_millis(180);
 
     pub(super) fn new(
         segment: &Segment,
         first: Vec<SocketAddrV4>,
         further: Vec<SocketAddrV4>,
-        everyone: bool,
         now: Timestamp,
     ) -> Self {
         Self {
@@ -68,10 +71,19 @@
             held: Vec::new(),
             asked: first.into_iter().map(|it| (it, None)).collect(),
             further,
-            everyone,
+            all: false,
+            everyone: false,
+            tried: false,
         }
     }
 
+    /// Says whether every known agent is asked, and whether nobody else can hold the flow.
+    pub(super) const fn covers(mut self, all: bool, everyone: bool) -> Self {
+        self.all = all;
+        self.everyone = everyone;
+        self
+    }
+
     pub(super) fn hold(&mut self, segment: &Segment, packet: &[u8]) {
         self.segment = *segment;
         if self.held.len() < Self::MAX_HELD {
@@ -95,16 +107,27 @@
             self.asked.extend(further.iter().map(|it| (*it, None)));
             return SearchState::Ask(further);
         }
+        self.after_all_answers()
+    }
+
+    fn after_all_answers(&mut self) -> SearchState {
+        if self.tried {
+            return SearchState::Nobody;
+        }
+        self.tried = true;
         let unsure = self.unsure();
-        if unsure.is_empty() {
-            SearchState::Nobody
-        } else {
-            SearchState::Unsure(unsure)
+        // The flow's packets must not reach other backend servers alone.
+        if unsure.is_empty() || !self.all {
+            return SearchState::Nobody;
+        }
+        for agent in &unsure {
+            self.asked.insert(*agent, None);
         }
+        SearchState::Try(unsure)
     }
 
     /// Agents that could not tell.
-    pub(super) fn unsure(&self) -> Vec<SocketAddrV4> {
+    fn unsure(&self) -> Vec<SocketAddrV4> {
         let unsure =
             |it: &(&SocketAddrV4, &Option<SearchAnswer>)| *it.1 == Some(SearchAnswer::Unsure);
         self.asked.iter().filter(unsure).map(|it| *it.0).collect()
--- a/arbutus-core/src/packet/search_step.rs
+++ b/arbutus-core/src/packet/search_step.rs
@@ -14,10 +14,10 @@
         /// What the caller acknowledged last.
         acknowledged: u32,
     },
-    /// Send the packets that waited to the header's present candidate.
+    /// Send the packets that waited.
     Relay {
-        /// What goes ahead of the packets.
-        header: RelayHeader,
+        /// What goes ahead of the packets, one for each agent that gets them.
+        headers: Vec<RelayHeader>,
         /// The packets.
         packets: Vec<Vec<u8>>,
     },
--- a/arbutus-core/src/packet/segment.rs
+++ b/arbutus-core/src/packet/segment.rs
@@ -44,6 +44,12 @@
         self.opens && !self.acknowledges
     }
 
+    /// Whether its sender waits for the other end.
+    #[must_use]
+    pub const fn expects_answer(&self) -> bool {
+        !self.resets && (self.payload > 0 || self.finishes)
+    }
+
     /// Whether it is the answer of a backend server that takes the flow.
     #[must_use]
     pub const fn is_accepting(&self) -> bool {
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -228,7 +228,7 @@
         if first.is_empty() || self.searches.len() >= Self::MAX_SEARCHES {
             return Steer::Drop(SteerDrop::NoAgent);
         }
-        let mut search = Search::new(segment, first, further, everyone, now);
+        let mut search = Search::new(segment, first, further, now).covers(likely.all, everyone);
         search.hold(segment, packet);
         self.searches.insert(segment.flow, search);
         self.note_asked(&asked, now);
@@ -269,25 +269,32 @@
             }
             SearchState::Found(agent) => {
                 self.flows.confirm(flow, agent, now);
-                let header = RelayHeader::new(self.settings.balancer, [agent]).known(true);
-                self.end_search(&flow, header)
+                let search = self.searches.swap_remove(&flow);
+                let packets = search.map(|it| it.held).unwrap_or_default();
+                self.relay([agent], packets, |header| header.known(true))
             }
-            SearchState::Unsure(agents) => {
-                let everyone = search.everyone && agents.len() <= RelayHeader::MAX_CANDIDATES;
-                let header = RelayHeader::new(self.settings.balancer, agents)
-                    .everyone(everyone)
-                    .last_resort();
-                self.end_search(&flow, header)
+            SearchState::Try(agents) => {
+                let packets = search.held.clone();
+                self.note_asked(&agents, now);
+                self.relay(agents, packets, RelayHeader::last_resort)
             }
             SearchState::Nobody => self.end_in_vain(&flow),
         }
     }
 
-    fn end_search(&mut self, flow: &FlowId, header: RelayHeader) -> SearchStep {
-        let search = self.searches.swap_remove(flow);
+    fn relay(
+        &self,
+        agents: impl IntoIterator<Item = SocketAddrV4>,
+        packets: Vec<Vec<u8>>,
+        kind: impl Fn(RelayHeader) -> RelayHeader,
+    ) -> SearchStep {
+        let header = |agent| {
+            let header = RelayHeader::new(self.settings.balancer, [agent]);
+            kind(header.config(self.config_version()))
+        };
         SearchStep::Relay {
-            header: header.config(self.config_version()),
-            packets: search.map(|it| it.held).unwrap_or_default(),
+            headers: agents.into_iter().map(header).collect(),
+            packets,
         }
     }
 
@@ -296,7 +303,7 @@
             return SearchStep::Wait;
         };
         let segment = search.segment;
-        if search.everyone && segment.payload > 0 && !segment.resets {
+        if search.everyone && segment.expects_answer() {
             return SearchStep::Reset {
                 flow: *flow,
                 caller_has: segment.acknowledged,
@@ -309,32 +316,17 @@
         }
     }
 
-    /// Ends the searches that have lasted too long; packets that waited go to the agents that could
-    /// not tell, if there are any.
+    /// Ends the searches that have lasted too long.
     pub fn expire_searches(&mut self, now: Timestamp) -> Vec<(FlowId, SearchStep)> {
         let late = |it: &Search| now.since(it.started_at) >= Search::TIMEOUT;
-        let flows: Vec<_> = self
-            .searches
-            .iter()
-            .filter(|(_, it)| late(it))
-            .map(|(flow, it)| (*flow, it.unsure()))
-            .collect();
-        flows
-            .into_iter()
-            .map(|(flow, unsure)| (flow, self.end_late(&flow, unsure)))
-            .collect()
-    }
-
-    fn end_late(&mut self, flow: &FlowId, unsure: Vec<SocketAddrV4>) -> SearchStep {
-        if !unsure.is_empty() {
-            let header = RelayHeader::new(self.settings.balancer, unsure).last_resort();
-            return self.end_search(flow, header);
-        }
-        let search = self.searches.swap_remove(flow);
-        search.map_or(SearchStep::Wait, |it| SearchStep::GiveUp {
+        let given_up = |it: &Search| SearchStep::GiveUp {
             asked: it.asked(),
             answered: it.answered(),
-        })
+        };
+        let searches = self.searches.iter().filter(|(_, it)| late(it));
+        let ended: Vec<_> = searches.map(|(flow, it)| (*flow, given_up(it))).collect();
+        self.searches.retain(|_, it| !late(it));
+        ended
     }
 
     /// Notes what is about to be sent.
@@ -475,6 +467,7 @@
     pub fn on_holding(&mut self, agent: SocketAddrV4, flow: FlowId, open: bool, now: Timestamp) {
         if open {
             self.flows.confirm(flow, agent, now);
+            self.searches.swap_remove(&flow);
         } else if !self.flows.get(&flow, now).is_some_and(|it| it.confirmed) {
             self.flows.place(flow, agent, now);
         }
--- a/arbutus-io/src/packet/agent.rs
+++ b/arbutus-io/src/packet/agent.rs
@@ -3,7 +3,7 @@
 use arbutus_core::{
     packet::{
         AgentReport, FlowHolder, FlowId, Heartbeat, HeartbeatOutcome, HolderAction, HolderDrop,
-        HolderSettings, Message, Refused, RelayHeader, Segment,
+        HolderSettings, Message, Refused, RelayHeader, SearchAnswer, Segment,
     },
     time::Timestamp,
 };
@@ -118,6 +118,10 @@
         let mut state = self.state.lock();
         let answer = state.holder.on_query(balancer, flow, acknowledged, now);
         drop(state);
+        self.answer(balancer, flow, answer);
+    }
+
+    fn answer(&self, balancer: SocketAddrV4, flow: FlowId, answer: SearchAnswer) {
         let message = Message::Answer {
             agent: self.settings.agent,
             flow,
@@ -183,7 +187,16 @@
                     self.check(self.sockets.peers.send(&message, agent));
                 }
             }
-            HolderAction::ToCaller { answered_after } => {
+            HolderAction::Deny { balancer } => {
+                self.answer(balancer, segment.flow, SearchAnswer::Denies);
+            }
+            HolderAction::ToCaller {
+                answered_after,
+                tell,
+            } => {
+                if let Some(balancer) = tell {
+                    self.tell(balancer, segment);
+                }
                 self.metrics.to_callers.inc();
                 if let Some(after) = answered_after {
                     self.metrics.answer_seconds.observe(after.as_secs_f64());
@@ -266,6 +279,7 @@
             | HolderAction::ToBackend {
                 admitted: false, ..
             }
+            | HolderAction::Deny { .. }
             | HolderAction::ToCaller { .. } => {}
         }
     }
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -164,15 +164,10 @@
                 agents,
                 acknowledged,
             } => self.ask(flow, acknowledged, &agents),
-            SearchStep::Relay { header, packets } => {
-                self.log_found(&flow, &header, now);
-                let Some(agent) = header.target() else {
-                    return;
-                };
-                let message = Message::Relay(header);
-                for packet in packets {
-                    self.metrics.relayed.inc();
-                    self.send(&message.encode(&packet), agent);
+            SearchStep::Relay { headers, packets } => {
+                self.log_found(&flow, &headers, now);
+                for header in headers {
+                    self.relay(header, &packets);
                 }
             }
             SearchStep::Reset {
@@ -195,11 +190,27 @@
         }
     }
 
-    fn log_found(&self, flow: &FlowId, header: &RelayHeader, now: Timestamp) {
-        if self.state.lock().searched_lines.take(now) {
-            let (agents, known) = (header.candidates().len(), header.known);
-            let agent = header.target();
-            tracing::info!(%flow, ?agent, agents, known, "flow_found");
+    fn relay(&self, header: RelayHeader, packets: &[Vec<u8>]) {
+        let Some(agent) = header.target() else {
+            return;
+        };
+        let message = Message::Relay(header);
+        for packet in packets {
+            self.metrics.relayed.inc();
+            self.send(&message.encode(packet), agent);
+        }
+    }
+
+    fn log_found(&self, flow: &FlowId, headers: &[RelayHeader], now: Timestamp) {
+        if !self.state.lock().searched_lines.take(now) {
+            return;
+        }
+        let agent = headers.first().and_then(RelayHeader::target);
+        match agent {
+            Some(agent) if headers.iter().all(|it| it.known) => {
+                tracing::info!(%flow, %agent, "flow_found");
+            }
+            _ => tracing::info!(%flow, agents = headers.len(), "flow_tried"),
         }
     }
 
