--- a/arbutus-core/src/packet/placement.rs
+++ b/arbutus-core/src/packet/placement.rs
@@ -47,6 +47,9 @@
     /// Slots of an agent that has not said how many it has.
     const ASSUMED_SLOTS: f64 = 1.0;
 
+    /// What a caller that waits for an answer costs, in flows: full slots outweigh a distance.
+    const WAITING_COST: f64 = 4.0;
+
     /// What a slot of a backend server that warms up counts for.
     const COLD_SLOT: f64 = 0.5;
 
@@ -93,11 +96,12 @@
     }
 
     fn score(&self, member: &Member) -> Scored {
-        let (flows, slots) = match &member.report {
-            Some(report) => (report.flows, slots(report.slots, report.warmup_ms)),
-            None => (0, Self::ASSUMED_SLOTS),
+        let (flows, waiting, slots) = match &member.report {
+            Some(it) => (it.flows, it.waiting, slots(it.slots, it.warmup_ms)),
+            None => (0, 0, Self::ASSUMED_SLOTS),
         };
-        let load = f64::from(flows.saturating_add(member.placed)) / slots;
+        let flows = f64::from(flows.saturating_add(member.placed));
+        let load = (flows + Self::WAITING_COST * f64::from(waiting)) / slots;
         let far = *member.failure_domain != *self.failure_domain;
         Scored {
             agent: member.agent,
