fix(core): views settle by a settled peer, searches repeat what may be lost

Agents that cannot tell now try only for a balancer that reaches the store and has heard another; balancers without the store ask others; a new one takes over a settled view at once; agents without a listing make themselves known to every balancer they know.

--- a/arbutus-core/src/packet/flow_holder.rs
+++ b/arbutus-core/src/packet/flow_holder.rs
@@ -193,7 +193,7 @@
         if !held.confirms(segment) {
             return pass_on(header, segment, Refused::OtherStream);
         }
-        held.from_caller(segment, now);
+        held.on_caller_segment(segment, now);
         let tell = tell(&header);
         self.note_under_way(header, segment.flow, now);
         HolderAction::ToBackend {
@@ -258,7 +258,7 @@
         };
         let held = self.flows.entry(segment.flow);
         let held = held.or_insert_with(|| HeldFlow::new(phase, now));
-        let answered_after = held.from_backend(segment, now);
+        let answered_after = held.on_backend_segment(segment, now);
         HolderAction::ToCaller {
             answered_after,
             tell,
--- a/arbutus-core/src/packet/held_flow.rs
+++ b/arbutus-core/src/packet/held_flow.rs
@@ -66,25 +66,29 @@
     }
 
     /// Takes in a packet of the caller that goes to the backend server.
-    pub(super) fn from_caller(&mut self, segment: &Segment, now: Timestamp) {
+    pub(super) fn on_caller_segment(&mut self, segment: &Segment, now: Timestamp) {
         self.used_at = now;
         if segment.is_opening() {
             return;
         }
         self.phase = Phase::Open;
-        if segment.acknowledges {
+        if segment.acknowledges() {
             self.caller_has = segment.acknowledged;
         }
         if segment.payload > 0 {
             self.waiting_since.get_or_insert(now);
         }
-        self.caller_finished |= segment.finishes;
+        self.caller_finished |= segment.finishes();
         self.note_end(segment, now);
     }
 
     /// Takes in a packet of the backend server; gives how long the caller has waited, where it is
     /// the first of an answer.
-    pub(super) fn from_backend(&mut self, segment: &Segment, now: Timestamp) -> Option<Duration> {
+    pub(super) fn on_backend_segment(
+        &mut self,
+        segment: &Segment,
+        now: Timestamp,
+    ) -> Option<Duration> {
         self.used_at = now;
         match self.phase {
             Phase::Asked | Phase::Accepted(_) if segment.is_accepting() => {
@@ -98,13 +102,13 @@
         } else {
             None
         };
-        self.backend_finished |= segment.finishes;
+        self.backend_finished |= segment.finishes();
         self.note_end(segment, now);
         answered.map(|since| now.since(since))
     }
 
     fn note_end(&mut self, segment: &Segment, now: Timestamp) {
-        if segment.resets || (self.caller_finished && self.backend_finished) {
+        if segment.resets() || (self.caller_finished && self.backend_finished) {
             self.ended_at.get_or_insert(now);
             self.waiting_since = None;
         }
--- a/arbutus-core/src/packet/peer_snapshot.rs
+++ b/arbutus-core/src/packet/peer_snapshot.rs
@@ -7,6 +7,8 @@
 pub struct PeerSnapshot {
     /// The configuration in force.
     pub config: Option<PacketConfig>,
+    /// Whether it trusts that it knows every agent that holds a flow.
+    pub settled: bool,
     /// The agents that it knows.
     pub agents: Vec<AgentListing>,
 }
--- a/arbutus-core/src/packet/search.rs
+++ b/arbutus-core/src/packet/search.rs
@@ -29,10 +29,12 @@
     asked: IndexMap<SocketAddrV4, Option<SearchAnswer>>,
     /// Agents to ask if the first ones do not hold the flow.
     further: Vec<SocketAddrV4>,
-    /// Whether every known agent that may hold the flow is asked.
+    /// Whether agents that cannot tell may be given the packets.
     all: bool,
-    /// Whether, besides, nobody else can hold it.
+    /// Whether nobody but these agents can hold the flow.
     pub(super) everyone: bool,
+    /// How often what was sent has been repeated.
+    repeated: u32,
     /// Whether agents that cannot tell have been given the packets.
     tried: bool,
 }
@@ -52,10 +54,24 @@
     Nobody,
 }
 
+/// What becomes of a search whose answers are late.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum LateSearch {
+    /// These are asked again.
+    AskAgain(Vec<SocketAddrV4>),
+    /// These get the packets again.
+    TryAgain(Vec<SocketAddrV4>),
+    /// It ends.
+    GiveUp,
+}
+
 impl Search {
     /// Packets that wait; a caller has few under way before it hears anything.
     const MAX_HELD: usize = 4;
 
+    /// How often what was sent is repeated.
+    const REPETITIONS: u32 = 2;
+
     /// How long answers are waited for: less than a caller waits before it sends again.
     pub(super) const TIMEOUT: Duration = Duration::from_millis(180);
 
@@ -73,11 +89,12 @@
             further,
             all: false,
             everyone: false,
+            repeated: 0,
             tried: false,
         }
     }
 
-    /// Says whether every known agent is asked, and whether nobody else can hold the flow.
+    /// Says whether agents that cannot tell may try, and whether nobody else can hold the flow.
     pub(super) const fn covers(mut self, all: bool, everyone: bool) -> Self {
         self.all = all;
         self.everyone = everyone;
@@ -126,6 +143,22 @@
         SearchState::Try(unsure)
     }
 
+    /// Decides what becomes of the search when answers are late: what was sent may be lost.
+    pub(super) fn on_late(&mut self, now: Timestamp) -> LateSearch {
+        if self.repeated >= Self::REPETITIONS {
+            return LateSearch::GiveUp;
+        }
+        self.repeated += 1;
+        self.started_at = now;
+        let missing = self.asked.iter().filter(|(_, answer)| answer.is_none());
+        let missing = missing.map(|(agent, _)| *agent).collect();
+        if self.tried {
+            LateSearch::TryAgain(missing)
+        } else {
+            LateSearch::AskAgain(missing)
+        }
+    }
+
     /// Agents that could not tell.
     fn unsure(&self) -> Vec<SocketAddrV4> {
         let unsure =
--- a/arbutus-core/src/packet/segment.rs
+++ b/arbutus-core/src/packet/segment.rs
@@ -1,21 +1,15 @@
-use super::FlowId;
+use super::{FlowId, SegmentFlags};
 
 /// What the decisions read of one packet of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Segment {
     /// The flow, whichever way the packet goes.
     pub flow: FlowId,
-    /// Whether it opens the flow (SYN).
-    pub opens: bool,
-    /// Whether `acknowledged` has a meaning (ACK).
-    pub acknowledges: bool,
-    /// Whether its sender has nothing more to say (FIN).
-    pub finishes: bool,
-    /// Whether it resets the flow (RST).
-    pub resets: bool,
+    /// What it says besides its payload.
+    pub flags: SegmentFlags,
     /// Position of its first byte in the sender's stream.
     pub sequence: u32,
-    /// Next byte that the sender expects of the other end; in an opening segment of a caller the
+    /// Next byte that the sender expects of the other end, where its flags say so; in an opening segment of a caller the
     /// number of copies sent before.
     pub acknowledged: u32,
     /// Payload, in bytes.
@@ -28,31 +22,57 @@
     pub const fn new(flow: FlowId) -> Self {
         Self {
             flow,
-            opens: false,
-            acknowledges: false,
-            finishes: false,
-            resets: false,
+            flags: SegmentFlags::NONE,
             sequence: 0,
             acknowledged: 0,
             payload: 0,
         }
     }
 
+    /// Sets flags besides those that are set.
+    #[must_use]
+    pub const fn flag(mut self, flags: SegmentFlags) -> Self {
+        self.flags = self.flags.with(flags);
+        self
+    }
+
+    const fn opens(&self) -> bool {
+        self.flags.has(SegmentFlags::OPENS)
+    }
+
+    /// Whether its acknowledgement has a meaning.
+    #[must_use]
+    pub const fn acknowledges(&self) -> bool {
+        self.flags.has(SegmentFlags::ACKNOWLEDGES)
+    }
+
+    /// Whether its sender has nothing more to say.
+    #[must_use]
+    pub const fn finishes(&self) -> bool {
+        self.flags.has(SegmentFlags::FINISHES)
+    }
+
+    /// Whether it resets the flow.
+    #[must_use]
+    pub const fn resets(&self) -> bool {
+        self.flags.has(SegmentFlags::RESETS)
+    }
+
     /// Whether it asks for a new flow, as opposed to the answer that agrees to one.
     #[must_use]
     pub const fn is_opening(&self) -> bool {
-        self.opens && !self.acknowledges
+        self.opens() && !self.acknowledges()
     }
 
     /// Whether its sender waits for the other end.
     #[must_use]
     pub const fn expects_answer(&self) -> bool {
-        !self.resets && (self.payload > 0 || self.finishes)
+        !self.resets() && (self.payload > 0 || self.finishes())
     }
 
     /// Whether it is the answer of a backend server that takes the flow.
     #[must_use]
     pub const fn is_accepting(&self) -> bool {
-        self.opens && self.acknowledges
+        self.opens() && self.acknowledges()
     }
 }
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -9,7 +9,7 @@
     member::Member,
     member_table::MemberTable,
     placement::Placement,
-    search::{Search, SearchState},
+    search::{LateSearch, Search, SearchState},
     view::View,
 };
 use crate::{config::ConfigVersion, time::Timestamp};
@@ -220,6 +220,7 @@
         }
         let likely = self.placement(now).for_search(&route.targets);
         let everyone = likely.all && self.view.is_complete(now);
+        let all = likely.all && self.view.may_try(now);
         let (first, further) = if likely.near.is_empty() {
             (likely.far, Vec::new())
         } else {
@@ -229,7 +230,7 @@
         if first.is_empty() || self.searches.len() >= Self::MAX_SEARCHES {
             return Steer::Drop(SteerDrop::NoAgent);
         }
-        let mut search = Search::new(segment, first, further, now).covers(likely.all, everyone);
+        let mut search = Search::new(segment, first, further, now).covers(all, everyone);
         search.hold(segment, packet);
         self.searches.insert(segment.flow, search);
         self.note_asked(&asked, now);
@@ -317,17 +318,46 @@
         }
     }
 
-    /// Ends the searches that have lasted too long.
+    /// Repeats what was sent for searches whose answers are late, and ends those that have had their
+    /// repetitions.
     pub fn expire_searches(&mut self, now: Timestamp) -> Vec<(FlowId, SearchStep)> {
         let late = |it: &Search| now.since(it.started_at) >= Search::TIMEOUT;
-        let given_up = |it: &Search| SearchStep::GiveUp {
-            asked: it.asked(),
-            answered: it.answered(),
+        let searches = self.searches.iter_mut().filter(|(_, it)| late(it));
+        let states: Vec<_> = searches
+            .map(|(flow, it)| (*flow, it.on_late(now)))
+            .collect();
+        states
+            .into_iter()
+            .map(|(flow, state)| (flow, self.after_late(&flow, state, now)))
+            .collect()
+    }
+
+    fn after_late(&mut self, flow: &FlowId, state: LateSearch, now: Timestamp) -> SearchStep {
+        let Some(search) = self.searches.get(flow) else {
+            return SearchStep::Wait;
         };
-        let searches = self.searches.iter().filter(|(_, it)| late(it));
-        let ended: Vec<_> = searches.map(|(flow, it)| (*flow, given_up(it))).collect();
-        self.searches.retain(|_, it| !late(it));
-        ended
+        match state {
+            LateSearch::AskAgain(agents) => {
+                let acknowledged = search.segment.acknowledged;
+                self.note_asked(&agents, now);
+                SearchStep::Ask {
+                    agents,
+                    acknowledged,
+                }
+            }
+            LateSearch::TryAgain(agents) => {
+                let packets = search.held.clone();
+                self.relay(agents, packets, RelayHeader::last_resort)
+            }
+            LateSearch::GiveUp => {
+                let step = SearchStep::GiveUp {
+                    asked: search.asked(),
+                    answered: search.answered(),
+                };
+                self.searches.swap_remove(flow);
+                step
+            }
+        }
     }
 
     /// Notes what is about to be sent.
@@ -450,18 +480,24 @@
         self.view.on_store(answers, now);
     }
 
-    /// Whether what other balancers know need not be asked for any more.
+    /// Whether what other balancers know has been asked for late enough after the start.
     #[must_use]
     pub fn knows_peers(&self, now: Timestamp) -> bool {
         self.view.knows_peers(now)
     }
 
-    /// Takes in which agents another balancer knows.
-    pub fn on_peer(&mut self, agents: &[AgentListing], now: Timestamp) {
+    /// Whether other balancers are to be asked what they know.
+    #[must_use]
+    pub fn needs_peers(&self, now: Timestamp) -> bool {
+        self.view.needs_peers(now)
+    }
+
+    /// Takes in which agents another balancer knows, and whether it trusts that these are all.
+    pub fn on_peer(&mut self, agents: &[AgentListing], settled: bool, now: Timestamp) {
         for agent in agents {
             self.members.tell(agent, now);
         }
-        self.view.on_peer(now);
+        self.view.on_peer(settled, now);
     }
 
     /// Takes in that an agent holds a flow.
@@ -515,8 +551,9 @@
 
     /// What a balancer that cannot reach the store may start from.
     #[must_use]
-    pub fn snapshot(&self) -> PeerSnapshot {
+    pub fn snapshot(&self, now: Timestamp) -> PeerSnapshot {
         PeerSnapshot {
+            settled: self.view.is_complete(now),
             config: self.config.clone(),
             agents: self.members.iter().map(Member::listing).collect(),
         }
--- a/arbutus-core/src/packet/view.rs
+++ b/arbutus-core/src/packet/view.rs
@@ -15,6 +15,8 @@
     store_was_lost: bool,
     /// When another balancer last told what it knows.
     peer_at: Option<Timestamp>,
+    /// Whether one that trusted its own view has told.
+    peer_settled: bool,
 }
 
 impl View {
@@ -37,6 +39,7 @@
             store_since: None,
             store_was_lost: false,
             peer_at: None,
+            peer_settled: false,
         }
     }
 
@@ -49,24 +52,47 @@
         }
     }
 
-    pub(super) const fn on_peer(&mut self, now: Timestamp) {
+    pub(super) const fn on_peer(&mut self, settled: bool, now: Timestamp) {
         self.peer_at = Some(now);
+        self.peer_settled |= settled;
     }
 
     /// Whether an agent that is not known holds no flow.
     pub(super) fn is_complete(&self, now: Timestamp) -> bool {
-        let limit = if self.store_was_lost {
-            Self::STORE_REGAINED
-        } else {
-            Self::STORE_SETTLED
+        let limit = match (self.store_was_lost, self.peer_settled) {
+            (true, _) => Self::STORE_REGAINED,
+            (false, true) => Duration::ZERO,
+            (false, false) => Self::STORE_SETTLED,
         };
         let settled = |since: Timestamp| now.since(since) >= limit;
         self.store_since.is_some_and(settled) && self.knows_peers(now)
     }
 
+    /// Whether agents that cannot tell may be given a flow's packets: other backend servers must not
+    /// get them while an agent that is not known holds the flow.
+    ///
+    /// Where no other balancer trusts its view, all have started together, and agents are listed
+    /// from before.
+    pub(super) fn may_try(&self, now: Timestamp) -> bool {
+        let started_together = self.peer_at.is_some() && !self.store_was_lost;
+        self.is_complete(now) || (self.reaches_store() && started_together)
+    }
+
+    /// Whether the store answers.
+    pub(super) const fn reaches_store(&self) -> bool {
+        self.store_since.is_some()
+    }
+
+    /// Whether agents may have come that only other balancers know.
+    pub(super) fn needs_peers(&self, now: Timestamp) -> bool {
+        !self.reaches_store() || !self.knows_peers(now)
+    }
+
     /// Whether what other balancers know has been asked for late enough, or need not be.
     pub(super) fn knows_peers(&self, now: Timestamp) -> bool {
         let asked = |at: Timestamp| at.since(self.started_at) >= Self::PEER_SETTLED;
-        self.peer_at.is_some_and(asked) || now.since(self.started_at) >= Self::ALONE
+        self.peer_settled
+            || self.peer_at.is_some_and(asked)
+            || now.since(self.started_at) >= Self::ALONE
     }
 }
--- a/arbutus-io/src/packet/agent.rs
+++ b/arbutus-io/src/packet/agent.rs
@@ -131,7 +131,7 @@
     }
 
     fn on_relayed(&self, header: RelayHeader, packet: &[u8], now: Timestamp) {
-        let segment = match self.codec.from_caller(packet) {
+        let segment = match self.codec.read_from_caller(packet) {
             Ok(decoded) => decoded.segment,
             Err(err) => return self.count_drop(err.name()),
         };
@@ -155,7 +155,7 @@
     }
 
     fn on_backend_packet(&self, packet: &mut [u8], now: Timestamp) {
-        let decoded = match self.codec.from_backend(packet) {
+        let decoded = match self.codec.read_from_backend(packet) {
             Ok(decoded) => decoded,
             Err(err) => return self.count_drop(err.name()),
         };
@@ -330,10 +330,21 @@
         }
     }
 
-    /// Sends a report to balancers that need not know the agent yet.
+    /// Sends a report to `balancers` and those that had packets lately, which need not know the agent:
+    /// they may have started anew.
     pub fn introduce(&self, balancers: &[SocketAddrV4]) {
-        let report = self.state.lock().holder.introduction(clock::now());
-        self.report_to(report, balancers);
+        let mut state = self.state.lock();
+        let report = state.holder.introduction(clock::now());
+        let mut to = state.holder.balancers();
+        drop(state);
+        to.extend(
+            balancers
+                .iter()
+                .filter(|it| !to.contains(it))
+                .copied()
+                .collect::<Vec<_>>(),
+        );
+        self.report_to(report, &to);
     }
 
     /// Takes in a heartbeat of the backend server.
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -110,7 +110,7 @@
     }
 
     fn on_packet(&self, packet: &[u8], now: Timestamp) {
-        let segment = match self.codec.from_caller(packet) {
+        let segment = match self.codec.read_from_caller(packet) {
             Ok(decoded) if !decoded.bounced => decoded.segment,
             Ok(_) => return self.count_drop(SteerDrop::NotACaller.name()),
             Err(err) => return self.count_drop(err.name()),
@@ -293,7 +293,7 @@
                 self.on_report(report, now);
             }
             Ok((Message::Relay(_) | Message::Probe { .. } | Message::Query { .. }, _)) => {
-                self.count_drop("not-for-us")
+                self.count_drop("not-for-us");
             }
             Err(_) => self.count_drop("unreadable-message"),
         }
@@ -329,7 +329,7 @@
         let mut state = self.state.lock();
         let gone = state.steering.expire(now);
         let probes = state.steering.probes(now);
-        let searches = state.steering.expire_searches(now);
+        let late = state.steering.expire_searches(now);
         let isolated = state.steering.is_isolated(now);
         let turned = isolated != state.isolated;
         state.isolated = isolated;
@@ -354,7 +354,7 @@
             let [placed, searched, dropped] = left_out;
             tracing::info!(placed, searched, dropped, "lines_left_out");
         }
-        for (flow, step) in searches {
+        for (flow, step) in late {
             self.carry_out(flow, step, now);
         }
         let balancer = self.settings.balancer;
@@ -419,14 +419,16 @@
     /// Takes in what another balancer knows.
     pub fn on_snapshot(&self, snapshot: PeerSnapshot) {
         let now = clock::now();
-        let agents = snapshot.agents.len();
+        let (agents, settled) = (snapshot.agents.len(), snapshot.settled);
         if let Some(config) = snapshot.config {
             self.on_config(config, "peer");
         }
         let mut state = self.state.lock();
-        state.steering.on_peer(&snapshot.agents, now);
+        state
+            .steering
+            .on_peer(&snapshot.agents, snapshot.settled, now);
         drop(state);
-        tracing::info!(agents, "peer_snapshot_taken");
+        tracing::info!(agents, settled, "peer_snapshot_taken");
     }
 
     /// Notes that the store answers, or that it does not.
@@ -434,16 +436,29 @@
         self.state.lock().steering.on_store(answers, clock::now());
     }
 
-    /// Whether what other balancers know need not be asked for any more.
+    /// Whether a configuration is in force.
+    #[must_use]
+    pub fn has_config(&self) -> bool {
+        self.state.lock().steering.has_config()
+    }
+
+    /// Whether the process started a moment ago, or has no configuration yet.
+    #[must_use]
+    pub fn is_settling(&self) -> bool {
+        let state = self.state.lock();
+        !state.steering.knows_peers(clock::now()) || !state.steering.has_config()
+    }
+
+    /// Whether other balancers are to be asked what they know.
     #[must_use]
-    pub fn knows_peers(&self) -> bool {
-        self.state.lock().steering.knows_peers(clock::now())
+    pub fn needs_peers(&self) -> bool {
+        self.state.lock().steering.needs_peers(clock::now())
     }
 
     /// What another balancer may start from.
     #[must_use]
     pub fn snapshot(&self) -> PeerSnapshot {
-        self.state.lock().steering.snapshot()
+        self.state.lock().steering.snapshot(clock::now())
     }
 
     /// Waits until a configuration is known that the store has not brought, and gives the balancer
--- a/arbutus-io/src/packet/codec.rs
+++ b/arbutus-io/src/packet/codec.rs
@@ -49,14 +49,14 @@
     /// # Errors
     ///
     /// Fails where the bytes are no packet.
-    fn from_caller(&self, bytes: &[u8]) -> Result<DecodedPacket, PacketError>;
+    fn read_from_caller(&self, bytes: &[u8]) -> Result<DecodedPacket, PacketError>;
 
     /// Reads a packet that a backend server has sent or turned away.
     ///
     /// # Errors
     ///
     /// Fails where the bytes are no packet.
-    fn from_backend(&self, bytes: &[u8]) -> Result<DecodedPacket, PacketError>;
+    fn read_from_backend(&self, bytes: &[u8]) -> Result<DecodedPacket, PacketError>;
 
     /// Makes a packet that was turned away what it was before.
     fn restore(&self, bytes: &mut [u8]);
