fix(core): a near agent that does not answer holds no search up

Others are asked after 60 ms now, and agents that have ended are not told. Two tests, failing first.

--- a/arbutus-core/src/packet/search.rs
+++ b/arbutus-core/src/packet/search.rs
@@ -72,8 +72,11 @@
     /// How often what was sent is repeated.
     const REPETITIONS: u32 = 2;
 
+    /// How long answers of agents nearby are waited for before others are asked too.
+    const NEAR_TIMEOUT: Duration = Duration::from_millis(60);
+
     /// How long answers are waited for: less than a caller waits before it sends again.
-    pub(super) const TIMEOUT: Duration = Duration::from_millis(180);
+    const TIMEOUT: Duration = Duration::from_millis(180);
 
     pub(super) fn new(
         segment: &Segment,
@@ -143,6 +146,16 @@
         SearchState::Try(unsure)
     }
 
+    /// Whether answers are late.
+    pub(super) fn is_late(&self, now: Timestamp) -> bool {
+        let timeout = if self.further.is_empty() {
+            Self::TIMEOUT
+        } else {
+            Self::NEAR_TIMEOUT
+        };
+        now.since(self.started_at) >= timeout
+    }
+
     /// Decides what becomes of the search when answers are late: what was sent may be lost.
     pub(super) fn on_late(&mut self, now: Timestamp) -> LateSearch {
         if self.repeated >= Self::REPETITIONS {
@@ -151,7 +164,11 @@
         self.repeated += 1;
         self.started_at = now;
         let missing = self.asked.iter().filter(|(_, answer)| answer.is_none());
-        let missing = missing.map(|(agent, _)| *agent).collect();
+        let mut missing: Vec<_> = missing.map(|(agent, _)| *agent).collect();
+        for agent in std::mem::take(&mut self.further) {
+            self.asked.insert(agent, None);
+            missing.push(agent);
+        }
         if self.tried {
             LateSearch::TryAgain(missing)
         } else {
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -318,11 +318,16 @@
         }
     }
 
+    /// Whether some flow is searched.
+    #[must_use]
+    pub fn is_searching(&self) -> bool {
+        !self.searches.is_empty()
+    }
+
     /// Repeats what was sent for searches whose answers are late, and ends those that have had their
     /// repetitions.
     pub fn expire_searches(&mut self, now: Timestamp) -> Vec<(FlowId, SearchStep)> {
-        let late = |it: &Search| now.since(it.started_at) >= Search::TIMEOUT;
-        let searches = self.searches.iter_mut().filter(|(_, it)| late(it));
+        let searches = self.searches.iter_mut().filter(|(_, it)| it.is_late(now));
         let states: Vec<_> = searches
             .map(|(flow, it)| (*flow, it.on_late(now)))
             .collect();
@@ -552,10 +557,11 @@
     /// What a balancer that cannot reach the store may start from.
     #[must_use]
     pub fn snapshot(&self, now: Timestamp) -> PeerSnapshot {
+        let holders = self.members.iter().filter(|it| it.may_hold());
         PeerSnapshot {
             settled: self.view.is_complete(now),
             config: self.config.clone(),
-            agents: self.members.iter().map(Member::listing).collect(),
+            agents: holders.map(Member::listing).collect(),
         }
     }
 
--- a/arbutus-core/tests/packet/steering_cases.rs
+++ b/arbutus-core/tests/packet/steering_cases.rs
@@ -188,6 +188,37 @@
     assert_eq!(step, expected);
 }
 
+#[test]
+fn agents_elsewhere_are_asked_when_one_nearby_does_not_answer() {
+    let mut steering = knowing(2);
+    let mut far = listing(2, OTHER, 1);
+    far.failure_domain = std::sync::Arc::from("b");
+    steering.on_listed(&far, at(0));
+    steering.on_packet(&request(1, 900), PACKET, at(1));
+    steering.on_answer(agent(0), flow(1), SearchAnswer::Denies, at(2));
+    let late = steering.expire_searches(at(61));
+    let expected = SearchStep::Ask {
+        agents: vec![agent(1), agent(2)],
+        acknowledged: 900,
+    };
+    assert_eq!(late, [(flow(1), expected)]);
+    let found = steering.on_answer(agent(2), flow(1), SearchAnswer::Holds, at(70));
+    assert!(matches!(found, SearchStep::Relay { .. }), "{found:?}");
+}
+
+#[test]
+fn an_agent_that_has_ended_is_not_told_to_other_balancers() {
+    let mut steering = knowing(2);
+    steering.on_report(report(0, 2, AgentStatus::Ended, 0), at(1));
+    let told: Vec<_> = steering
+        .snapshot(at(2))
+        .agents
+        .iter()
+        .map(|it| it.agent)
+        .collect();
+    assert_eq!(told, [agent(1)]);
+}
+
 #[test]
 fn a_flow_that_everyone_denies_is_reset_by_a_balancer_that_trusts_its_view() {
     let mut steering = knowing(3);
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -57,6 +57,9 @@
     /// Time between two looks at what is silent or too old.
     const TICK: Duration = Duration::from_millis(250);
 
+    /// Time between two looks at searches whose answers may be late.
+    const SEARCH_TICK: Duration = Duration::from_millis(60);
+
     /// Most lines of each kind in a second.
     const LINES_PER_S: u32 = 200;
 
@@ -91,11 +94,15 @@
         let mut buf = [0; PacketSocket::MAX_DATAGRAM];
         let mut tick = time::interval(Self::TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut search_tick = time::interval(Self::SEARCH_TICK);
+        search_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
+            let searching = self.state.lock().steering.is_searching();
             tokio::select! {
                 () = self.sockets.callers.readable() => self.take_packets(&mut buf),
                 () = self.sockets.peers.readable() => self.take_messages(&mut buf),
                 _ = tick.tick() => self.on_tick(),
+                _ = search_tick.tick(), if searching => self.expire_searches(clock::now()),
             }
         }
     }
@@ -329,7 +336,6 @@
         let mut state = self.state.lock();
         let gone = state.steering.expire(now);
         let probes = state.steering.probes(now);
-        let late = state.steering.expire_searches(now);
         let isolated = state.steering.is_isolated(now);
         let turned = isolated != state.isolated;
         state.isolated = isolated;
@@ -354,9 +360,6 @@
             let [placed, searched, dropped] = left_out;
             tracing::info!(placed, searched, dropped, "lines_left_out");
         }
-        for (flow, step) in late {
-            self.carry_out(flow, step, now);
-        }
         let balancer = self.settings.balancer;
         let probe = Message::Probe { balancer }.encode(&[]);
         for agent in probes {
@@ -364,6 +367,13 @@
         }
     }
 
+    fn expire_searches(&self, now: Timestamp) {
+        let late = self.state.lock().steering.expire_searches(now);
+        for (flow, step) in late {
+            self.carry_out(flow, step, now);
+        }
+    }
+
     fn show(&self, steering: &Steering) {
         set(&self.metrics.agents, steering.member_count());
         set(&self.metrics.flows, steering.flow_count());
