--- a/arbutus-core/src/packet/backend_watch.rs
+++ b/arbutus-core/src/packet/backend_watch.rs
@@ -191,7 +191,7 @@
 
     /// How much longer it is slow after its start.
     #[must_use]
-    pub fn warmup_left(&self, now: Timestamp) -> Duration {
+    pub fn warmup_rest(&self, now: Timestamp) -> Duration {
         let left = self.last.as_ref().map_or(Duration::ZERO, |it| it.warmup);
         left.saturating_sub(now.since(self.heard_at))
     }
--- a/arbutus-core/src/packet/flow_holder.rs
+++ b/arbutus-core/src/packet/flow_holder.rs
@@ -1,10 +1,12 @@
+mod standing;
+
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 
 use super::{
-    AgentReport, AgentStatus, BackendState, BackendWatch, FlowId, Heartbeat, HeartbeatOutcome,
-    HolderAction, HolderDrop, Refused, RelayHeader, ResetCause, SearchAnswer, Segment,
+    BackendState, BackendWatch, FlowId, HolderAction, HolderDrop, Refused, RelayHeader, ResetCause,
+    SearchAnswer, Segment,
     balancer_links::BalancerLinks,
     held_flow::{HeldFlow, Phase},
 };
@@ -304,99 +306,6 @@
         }
     }
 
-    /// Takes in a heartbeat of the backend server.
-    pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Timestamp) -> HeartbeatOutcome {
-        let outcome = self.backend.on_heartbeat(heartbeat, now);
-        if outcome == HeartbeatOutcome::Changed {
-            self.links.owe_all(now);
-        }
-        outcome
-    }
-
-    /// Takes in that the backend server called `id` ends; gives `false` where another one runs.
-    pub fn on_goodbye(&mut self, id: &str, now: Timestamp) -> bool {
-        let ours = self.backend.on_goodbye(id);
-        if ours {
-            self.links.owe_all(now);
-        }
-        ours
-    }
-
-    /// Gives up every open flow, once the backend server has ended, so that callers need not wait
-    /// for it.
-    pub fn give_up_flows(&mut self) -> Vec<HolderAction> {
-        let flows = std::mem::take(&mut self.flows);
-        flows
-            .into_iter()
-            .filter(|(_, held)| held.is_open())
-            .map(|(flow, held)| HolderAction::Reset {
-                flow,
-                caller_has: held.caller_has,
-                cause: ResetCause::BackendEnded,
-            })
-            .collect()
-    }
-
-    /// Takes no new flow from now on.
-    pub fn stop(&mut self, now: Timestamp) {
-        self.stopping = true;
-        self.links.owe_all(now);
-    }
-
-    /// Notes that a balancer has asked for a report.
-    pub fn on_probe(&mut self, balancer: SocketAddrV4, now: Timestamp) {
-        self.links.note(balancer, now);
-    }
-
-    /// Whether some balancer waits for a report.
-    #[must_use]
-    pub fn owes_reports(&self) -> bool {
-        self.links.any_owed()
-    }
-
-    /// A report and the balancers that are to get it now.
-    pub fn report(&mut self, now: Timestamp) -> (AgentReport, Vec<SocketAddrV4>) {
-        (self.introduction(now), self.links.take_owed())
-    }
-
-    /// A report for balancers that need not know the agent yet.
-    pub fn introduction(&mut self, now: Timestamp) -> AgentReport {
-        self.sequence = self.sequence.saturating_add(1);
-        self.present_report(now)
-    }
-
-    fn present_report(&self, now: Timestamp) -> AgentReport {
-        let open = self.flows.values().filter(|it| it.ended_at.is_none());
-        let waiting = self.flows.values().filter(|it| it.waiting_since.is_some());
-        AgentReport {
-            agent: self.settings.agent,
-            service: self.tag,
-            failure_domain: self.settings.failure_domain.clone(),
-            incarnation: self.settings.incarnation,
-            sequence: self.sequence,
-            status: self.status(now),
-            slots: self.slots(),
-            flows: count(open.count()),
-            waiting: count(waiting.count()),
-            warmup_ms: u32::try_from(self.backend.warmup_left(now).as_millis()).unwrap_or(u32::MAX),
-            config: self.config,
-            config_source: self.config_source,
-        }
-    }
-
-    /// What balancers are told.
-    #[must_use]
-    pub fn status(&self, now: Timestamp) -> AgentStatus {
-        match self.backend.state(now) {
-            BackendState::Left => AgentStatus::Ended,
-            _ if self.stopping => AgentStatus::Draining,
-            BackendState::Draining => AgentStatus::Draining,
-            BackendState::Unheard => AgentStatus::Waiting,
-            BackendState::Ready if self.backend.is_unresponsive(now) => AgentStatus::Waiting,
-            BackendState::Ready => AgentStatus::Ready,
-        }
-    }
-
     /// Forgets flows that are over.
     pub fn expire(&mut self, now: Timestamp) {
         let idle = self.settings.idle;
@@ -418,18 +327,6 @@
         self.flows.len()
     }
 
-    /// The balancers that had packets lately, a bounded number of them.
-    #[must_use]
-    pub fn balancers(&self) -> Vec<SocketAddrV4> {
-        self.links.some()
-    }
-
-    /// How many balancers are known.
-    #[must_use]
-    pub fn balancer_count(&self) -> usize {
-        self.links.len()
-    }
-
     /// Whether every flow of the backend server was opened through this process.
     fn knows_all_flows(&self) -> bool {
         !self.forgot_flows
--- a/arbutus-core/src/packet/search.rs
+++ b/arbutus-core/src/packet/search.rs
@@ -163,8 +163,7 @@
         }
         self.repeated += 1;
         self.started_at = now;
-        let missing = self.asked.iter().filter(|(_, answer)| answer.is_none());
-        let mut missing: Vec<_> = missing.map(|(agent, _)| *agent).collect();
+        let mut missing = self.missing();
         for agent in std::mem::take(&mut self.further) {
             self.asked.insert(agent, None);
             missing.push(agent);
@@ -183,6 +182,12 @@
         self.asked.iter().filter(unsure).map(|it| *it.0).collect()
     }
 
+    /// Agents that have not answered.
+    pub(super) fn missing(&self) -> Vec<SocketAddrV4> {
+        let missing = self.asked.iter().filter(|(_, answer)| answer.is_none());
+        missing.map(|(agent, _)| *agent).collect()
+    }
+
     /// How many agents were asked.
     pub(super) fn asked(&self) -> usize {
         self.asked.len()
--- a/arbutus-core/src/packet/search_step.rs
+++ b/arbutus-core/src/packet/search_step.rs
@@ -34,7 +34,7 @@
     GiveUp {
         /// How many agents were asked.
         asked: usize,
-        /// How many of them answered.
-        answered: usize,
+        /// Those that have not answered.
+        missing: Vec<SocketAddrV4>,
     },
 }
--- a/arbutus-core/tests/packet/backend_watch.rs
+++ b/arbutus-core/tests/packet/backend_watch.rs
@@ -127,6 +127,6 @@
         ..heartbeat(0, 1, 1_000)
     };
     watch.on_heartbeat(warm, at(0));
-    assert_eq!(watch.warmup_left(at(300)), Duration::from_millis(500));
-    assert_eq!(watch.warmup_left(at(900)), Duration::ZERO);
+    assert_eq!(watch.warmup_rest(at(300)), Duration::from_millis(500));
+    assert_eq!(watch.warmup_rest(at(900)), Duration::ZERO);
 }
--- a/arbutus-core/tests/packet/steering_cases.rs
+++ b/arbutus-core/tests/packet/steering_cases.rs
@@ -321,7 +321,7 @@
     let ended = steering.expire_searches(at(540));
     let expected = SearchStep::GiveUp {
         asked: 3,
-        answered: 0,
+        missing: vec![agent(0), agent(1), agent(2)],
     };
     assert_eq!(ended, [(flow(1), expected)]);
     assert_eq!(steering.expire_searches(at(9_000)), []);
--- a/arbutus-io/src/packet.rs
+++ b/arbutus-io/src/packet.rs
@@ -9,6 +9,7 @@
 mod agent;
 mod balancer;
 mod codec;
+mod pause_watch;
 mod socket;
 
 pub use agent::{AgentSockets, PacketAgent};
--- a/arbutus-io/src/packet/agent.rs
+++ b/arbutus-io/src/packet/agent.rs
@@ -1,16 +1,18 @@
+mod lines;
+
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use arbutus_core::{
     packet::{
-        AgentReport, FlowHolder, FlowId, Heartbeat, HeartbeatOutcome, HolderAction, HolderDrop,
-        HolderSettings, Message, Refused, RelayHeader, SearchAnswer, Segment,
+        AgentReport, FlowHolder, FlowId, Heartbeat, HeartbeatOutcome, HolderAction, HolderSettings,
+        Message, RelayHeader, SearchAnswer, Segment,
     },
     time::Timestamp,
 };
 use parking_lot::Mutex;
 use tokio::time::{self, MissedTickBehavior};
 
-use super::{PacketCodec, PacketSocket};
+use super::{PacketCodec, PacketSocket, pause_watch::PauseWatch};
 use crate::{
     clock,
     metrics::{PacketAgentMetrics, ReasonLabel},
@@ -77,7 +79,12 @@
         let mut buf = [0; PacketSocket::MAX_DATAGRAM];
         let mut tick = time::interval(Self::REPORT);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pauses = PauseWatch::new();
         loop {
+            if let Some(pause) = pauses.look() {
+                let pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+                tracing::warn!(pause_ms, "process_paused");
+            }
             tokio::select! {
                 () = self.sockets.backend.readable() => self.take_backend_packets(&mut buf),
                 () = self.sockets.peers.readable() => self.take_messages(&mut buf),
@@ -233,71 +240,6 @@
         self.check(self.sockets.peers.send(&message.encode(&[]), balancer));
     }
 
-    fn log(&self, state: &mut State, segment: &Segment, action: &HolderAction, now: Timestamp) {
-        let opening = segment.is_opening();
-        match action {
-            HolderAction::ToBackend { admitted: true, .. } => {
-                self.metrics.admitted.inc();
-                if state.flow_lines.take(now) {
-                    let flows = state.holder.flow_count();
-                    let heartbeat_age_ms = heartbeat_age_ms(&state.holder, now);
-                    let copy = segment.acknowledged;
-                    tracing::info!(
-                        flow = %segment.flow, flows, heartbeat_age_ms, copy, "flow_admitted"
-                    );
-                }
-            }
-            HolderAction::PassOn { header, reason } => {
-                let label = ReasonLabel {
-                    reason: reason.name(),
-                };
-                self.metrics.passed_on.get_or_create(&label).inc();
-                if state.flow_lines.take(now) {
-                    log_passed_on(&state.holder, segment, header, *reason, now);
-                }
-            }
-            HolderAction::Reset { flow, cause, .. } => {
-                let heartbeat_age_ms = heartbeat_age_ms(&state.holder, now);
-                tracing::info!(%flow, cause = cause.name(), heartbeat_age_ms, "flow_reset");
-            }
-            HolderAction::Drop(reason) if state.flow_lines.take(now) => {
-                let here = match reason {
-                    HolderDrop::NobodyLeft(here) => here.name(),
-                    HolderDrop::UnknownBounce => "bounced",
-                };
-                let heartbeat_age_ms = heartbeat_age_ms(&state.holder, now);
-                tracing::info!(
-                    flow = %segment.flow,
-                    opening,
-                    reason = reason.name(),
-                    here,
-                    heartbeat_age_ms,
-                    "packet_dropped"
-                );
-            }
-            HolderAction::Drop(_)
-            | HolderAction::ToBackend {
-                admitted: false, ..
-            }
-            | HolderAction::Deny { .. }
-            | HolderAction::ToCaller { .. } => {}
-        }
-    }
-
-    /// Names the request that a packet begins, so that a request's id leads to its flow.
-    fn log_request(&self, state: &mut State, segment: &Segment, packet: &[u8], now: Timestamp) {
-        if segment.payload == 0 {
-            return;
-        }
-        let Some(request) = self.codec.request_id(packet) else {
-            return;
-        };
-        if state.request_lines.take(now) {
-            let flows = state.holder.flow_count();
-            tracing::info!(request, flow = %segment.flow, flows, "request_given");
-        }
-    }
-
     fn on_tick(&self) {
         let now = clock::now();
         let mut state = self.state.lock();
@@ -429,23 +371,6 @@
     }
 }
 
-fn log_passed_on(
-    holder: &FlowHolder,
-    segment: &Segment,
-    header: &RelayHeader,
-    reason: Refused,
-    now: Timestamp,
-) {
-    let (opening, next) = (segment.is_opening(), header.target());
-    let heartbeat_age_ms = heartbeat_age_ms(holder, now);
-    let backend = holder.backend().state(now);
-    let (flow, hops) = (segment.flow, header.hops());
-    tracing::info!(
-        %flow, opening, reason = reason.name(), ?next, hops, ?backend, heartbeat_age_ms,
-        "packet_passed_on"
-    );
-}
-
 /// The age of the last heartbeat, or -1 where none has come.
 fn heartbeat_age_ms(holder: &FlowHolder, now: Timestamp) -> i64 {
     let age = holder.backend().heartbeat_age(now);
--- /dev/null
+++ b/arbutus-io/src/packet/agent/lines.rs
@@ -0,0 +1,104 @@
+use arbutus_core::{
+    packet::{FlowHolder, HolderAction, HolderDrop, Refused, RelayHeader, Segment},
+    time::Timestamp,
+};
+
+use super::{PacketAgent, State, heartbeat_age_ms};
+use crate::{metrics::ReasonLabel, packet::PacketCodec};
+
+/// The lines that tell of decisions on flows.
+impl<C: PacketCodec> PacketAgent<C> {
+    pub(super) fn log(
+        &self,
+        state: &mut State,
+        segment: &Segment,
+        action: &HolderAction,
+        now: Timestamp,
+    ) {
+        let opening = segment.is_opening();
+        match action {
+            HolderAction::ToBackend { admitted: true, .. } => {
+                self.metrics.admitted.inc();
+                if state.flow_lines.take(now) {
+                    let flows = state.holder.flow_count();
+                    let heartbeat_age_ms = heartbeat_age_ms(&state.holder, now);
+                    let copy = segment.acknowledged;
+                    tracing::info!(
+                        flow = %segment.flow, flows, heartbeat_age_ms, copy, "flow_admitted"
+                    );
+                }
+            }
+            HolderAction::PassOn { header, reason } => {
+                let label = ReasonLabel {
+                    reason: reason.name(),
+                };
+                self.metrics.passed_on.get_or_create(&label).inc();
+                if state.flow_lines.take(now) {
+                    log_passed_on(&state.holder, segment, header, *reason, now);
+                }
+            }
+            HolderAction::Reset { flow, cause, .. } => {
+                let heartbeat_age_ms = heartbeat_age_ms(&state.holder, now);
+                tracing::info!(%flow, cause = cause.name(), heartbeat_age_ms, "flow_reset");
+            }
+            HolderAction::Drop(reason) if state.flow_lines.take(now) => {
+                let here = match reason {
+                    HolderDrop::NobodyLeft(here) => here.name(),
+                    HolderDrop::UnknownBounce => "bounced",
+                };
+                let heartbeat_age_ms = heartbeat_age_ms(&state.holder, now);
+                tracing::info!(
+                    flow = %segment.flow,
+                    opening,
+                    reason = reason.name(),
+                    here,
+                    heartbeat_age_ms,
+                    "packet_dropped"
+                );
+            }
+            HolderAction::Drop(_)
+            | HolderAction::ToBackend {
+                admitted: false, ..
+            }
+            | HolderAction::Deny { .. }
+            | HolderAction::ToCaller { .. } => {}
+        }
+    }
+
+    /// Names the request that a packet begins, so that a request's id leads to its flow.
+    pub(super) fn log_request(
+        &self,
+        state: &mut State,
+        segment: &Segment,
+        packet: &[u8],
+        now: Timestamp,
+    ) {
+        if segment.payload == 0 {
+            return;
+        }
+        let Some(request) = self.codec.request_id(packet) else {
+            return;
+        };
+        if state.request_lines.take(now) {
+            let flows = state.holder.flow_count();
+            tracing::info!(request, flow = %segment.flow, flows, "request_given");
+        }
+    }
+}
+
+fn log_passed_on(
+    holder: &FlowHolder,
+    segment: &Segment,
+    header: &RelayHeader,
+    reason: Refused,
+    now: Timestamp,
+) {
+    let (opening, next) = (segment.is_opening(), header.target());
+    let heartbeat_age_ms = heartbeat_age_ms(holder, now);
+    let backend = holder.backend().state(now);
+    let (flow, hops) = (segment.flow, header.hops());
+    tracing::info!(
+        %flow, opening, reason = reason.name(), ?next, hops, ?backend, heartbeat_age_ms,
+        "packet_passed_on"
+    );
+}
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -1,10 +1,12 @@
+mod lines;
+
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use arbutus_core::{
     packet::{
-        AgentListing, AgentReport, Choice, FlowId, MemberChange, Message, PacketConfig,
-        PeerSnapshot, RelayHeader, ResetCause, SearchAnswer, SearchStep, Segment, Steer, SteerDrop,
-        Steering, SteeringSettings,
+        AgentListing, AgentReport, FlowId, MemberChange, Message, PacketConfig, PeerSnapshot,
+        RelayHeader, ResetCause, SearchAnswer, SearchStep, Steer, SteerDrop, Steering,
+        SteeringSettings,
     },
     time::Timestamp,
 };
@@ -14,7 +16,7 @@
     time::{self, MissedTickBehavior},
 };
 
-use super::{PacketCodec, PacketSocket};
+use super::{PacketCodec, PacketSocket, pause_watch::PauseWatch};
 use crate::{
     clock,
     metrics::{PacketBalancerMetrics, ReasonLabel},
@@ -96,7 +98,11 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut search_tick = time::interval(Self::SEARCH_TICK);
         search_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pauses = PauseWatch::new();
         loop {
+            if let Some(pause) = pauses.look() {
+                self.on_pause(pause);
+            }
             let searching = self.state.lock().steering.is_searching();
             tokio::select! {
                 () = self.sockets.callers.readable() => self.take_packets(&mut buf),
@@ -107,6 +113,14 @@
         }
     }
 
+    /// After a pause, agents and configuration may have changed unheard.
+    fn on_pause(&self, pause: Duration) {
+        let now = clock::now();
+        self.state.lock().steering.on_store(false, now);
+        let pause_ms = age_ms(Some(pause));
+        tracing::warn!(pause_ms, "process_paused");
+    }
+
     fn take_packets(&self, buf: &mut [u8]) {
         for _ in 0..PacketSocket::BATCH {
             let Some(packet) = self.sockets.callers.receive(buf) else {
@@ -188,10 +202,10 @@
                 let reset = self.codec.reset(&flow, caller_has);
                 self.send(&reset, self.codec.caller_address(&flow));
             }
-            SearchStep::GiveUp { asked, answered } => {
+            SearchStep::GiveUp { asked, missing } => {
                 self.count_drop("not-found");
                 if self.state.lock().searched_lines.take(now) {
-                    tracing::info!(%flow, asked, answered, "flow_not_found");
+                    tracing::info!(%flow, asked, ?missing, "flow_not_found");
                 }
             }
         }
@@ -208,60 +222,6 @@
         }
     }
 
-    fn log_found(&self, flow: &FlowId, headers: &[RelayHeader], now: Timestamp) {
-        if !self.state.lock().searched_lines.take(now) {
-            return;
-        }
-        let agent = headers.first().and_then(RelayHeader::target);
-        match agent {
-            Some(agent) if headers.iter().all(|it| it.known) => {
-                tracing::info!(%flow, %agent, "flow_found");
-            }
-            _ => tracing::info!(%flow, agents = headers.len(), "flow_tried"),
-        }
-    }
-
-    fn log_placed(&self, state: &mut State, segment: &Segment, choice: &Choice, now: Timestamp) {
-        self.metrics.placed.inc();
-        if !state.placed_lines.take(now) {
-            return;
-        }
-        tracing::info!(
-            flow = %segment.flow,
-            route = %choice.route,
-            service = %choice.service,
-            agent = %choice.agent,
-            score = choice.score,
-            weighed = choice.weighed,
-            report_age_ms = age_ms(choice.report_age),
-            config = %state.steering.config_version(),
-            copy = segment.acknowledged,
-            "flow_placed"
-        );
-    }
-
-    fn log_searched(&self, state: &mut State, segment: &Segment, asked: usize, now: Timestamp) {
-        self.metrics.searched.inc();
-        if state.searched_lines.take(now) {
-            let config = state.steering.config_version();
-            tracing::info!(flow = %segment.flow, candidates = asked, %config, "flow_searched");
-        }
-    }
-
-    fn log_dropped(&self, state: &mut State, segment: &Segment, reason: SteerDrop, now: Timestamp) {
-        self.count_drop(reason.name());
-        if state.dropped_lines.take(now) {
-            tracing::info!(
-                flow = %segment.flow,
-                reason = reason.name(),
-                opening = segment.is_opening(),
-                config = %state.steering.config_version(),
-                agents = state.steering.member_count(),
-                "packet_dropped"
-            );
-        }
-    }
-
     fn count_drop(&self, reason: &'static str) {
         let label = ReasonLabel { reason };
         self.metrics.dropped.get_or_create(&label).inc();
--- /dev/null
+++ b/arbutus-io/src/packet/balancer/lines.rs
@@ -0,0 +1,82 @@
+use arbutus_core::{
+    packet::{Choice, FlowId, RelayHeader, Segment, SteerDrop},
+    time::Timestamp,
+};
+
+use super::{PacketBalancer, State, age_ms};
+use crate::packet::PacketCodec;
+
+/// The lines that tell of decisions on flows.
+impl<C: PacketCodec> PacketBalancer<C> {
+    pub(super) fn log_found(&self, flow: &FlowId, headers: &[RelayHeader], now: Timestamp) {
+        if !self.state.lock().searched_lines.take(now) {
+            return;
+        }
+        let agent = headers.first().and_then(RelayHeader::target);
+        match agent {
+            Some(agent) if headers.iter().all(|it| it.known) => {
+                tracing::info!(%flow, %agent, "flow_found");
+            }
+            _ => tracing::info!(%flow, agents = headers.len(), "flow_tried"),
+        }
+    }
+
+    pub(super) fn log_placed(
+        &self,
+        state: &mut State,
+        segment: &Segment,
+        choice: &Choice,
+        now: Timestamp,
+    ) {
+        self.metrics.placed.inc();
+        if !state.placed_lines.take(now) {
+            return;
+        }
+        tracing::info!(
+            flow = %segment.flow,
+            route = %choice.route,
+            service = %choice.service,
+            agent = %choice.agent,
+            score = choice.score,
+            weighed = choice.weighed,
+            report_age_ms = age_ms(choice.report_age),
+            config = %state.steering.config_version(),
+            copy = segment.acknowledged,
+            "flow_placed"
+        );
+    }
+
+    pub(super) fn log_searched(
+        &self,
+        state: &mut State,
+        segment: &Segment,
+        asked: usize,
+        now: Timestamp,
+    ) {
+        self.metrics.searched.inc();
+        if state.searched_lines.take(now) {
+            let config = state.steering.config_version();
+            tracing::info!(flow = %segment.flow, candidates = asked, %config, "flow_searched");
+        }
+    }
+
+    pub(super) fn log_dropped(
+        &self,
+        state: &mut State,
+        segment: &Segment,
+        reason: SteerDrop,
+        now: Timestamp,
+    ) {
+        self.count_drop(reason.name());
+        if state.dropped_lines.take(now) {
+            tracing::info!(
+                flow = %segment.flow,
+                reason = reason.name(),
+                opening = segment.is_opening(),
+                config = %state.steering.config_version(),
+                agents = state.steering.member_count(),
+                "packet_dropped"
+            );
+        }
+    }
+}
