--- a/arbutus-core/src/packet/agent_report.rs
+++ b/arbutus-core/src/packet/agent_report.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::AgentListing;
 use crate::{
     config::ConfigVersion,
     ident::{Incarnation, ServiceTag},
@@ -48,3 +49,16 @@
     /// The balancer whose packet named it.
     pub config_source: Option<SocketAddrV4>,
 }
+
+impl AgentReport {
+    /// What the store would hold of the agent.
+    #[must_use]
+    pub fn listing(&self) -> AgentListing {
+        AgentListing {
+            agent: self.agent,
+            service: self.service,
+            failure_domain: self.failure_domain.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
--- a/arbutus-core/src/packet/balancer_links.rs
+++ b/arbutus-core/src/packet/balancer_links.rs
@@ -67,8 +67,4 @@
     pub(super) fn some(&self) -> Vec<SocketAddrV4> {
         self.links.keys().copied().take(Self::REPORTS).collect()
     }
-
-    pub(super) fn len(&self) -> usize {
-        self.links.len()
-    }
 }
--- a/arbutus-core/src/packet/flow_holder/standing.rs
+++ b/arbutus-core/src/packet/flow_holder/standing.rs
@@ -109,10 +109,4 @@
     pub fn balancers(&self) -> Vec<SocketAddrV4> {
         self.links.some()
     }
-
-    /// How many balancers are known.
-    #[must_use]
-    pub fn balancer_count(&self) -> usize {
-        self.links.len()
-    }
 }
--- a/arbutus-core/src/packet/member.rs
+++ b/arbutus-core/src/packet/member.rs
@@ -30,30 +30,14 @@
 }
 
 impl Member {
-    pub(super) fn listed(listing: &AgentListing, now: Timestamp) -> Self {
+    pub(super) fn new(listing: &AgentListing, listed: bool, now: Timestamp) -> Self {
         Self {
             agent: listing.agent,
             seed: route::agent_seed(listing.agent),
             service: listing.service,
             failure_domain: listing.failure_domain.clone(),
             incarnation: listing.incarnation,
-            listed: true,
-            report: None,
-            heard_at: None,
-            unanswered_since: None,
-            placed: 0,
-            known_at: now,
-        }
-    }
-
-    pub(super) fn reported(report: &AgentReport, now: Timestamp) -> Self {
-        Self {
-            agent: report.agent,
-            seed: route::agent_seed(report.agent),
-            service: report.service,
-            failure_domain: report.failure_domain.clone(),
-            incarnation: report.incarnation,
-            listed: false,
+            listed,
             report: None,
             heard_at: None,
             unanswered_since: None,
--- a/arbutus-core/src/packet/member_table.rs
+++ b/arbutus-core/src/packet/member_table.rs
@@ -40,7 +40,7 @@
             }
         }
         self.members
-            .insert(listing.agent, Member::listed(listing, now));
+            .insert(listing.agent, Member::new(listing, true, now));
         MemberChange::Joined
     }
 
@@ -48,9 +48,9 @@
     pub(super) fn tell(&mut self, listing: &AgentListing, now: Timestamp) {
         let known = self.members.get(&listing.agent);
         if known.is_none_or(|it| it.incarnation < listing.incarnation) {
-            let mut member = Member::listed(listing, now);
-            member.listed = known.is_some_and(|it| it.listed);
-            self.members.insert(listing.agent, member);
+            let listed = known.is_some_and(|it| it.listed);
+            self.members
+                .insert(listing.agent, Member::new(listing, listed, now));
         }
     }
 
@@ -83,8 +83,7 @@
         };
         if same.is_none() {
             let listed = known.is_some_and(|it| it.listed);
-            let mut member = Member::reported(&report, now);
-            member.listed = listed;
+            let member = Member::new(&report.listing(), listed, now);
             self.members.insert(report.agent, member);
         }
         if let Some(member) = self.members.get_mut(&report.agent) {
--- a/arbutus-core/src/packet/packet_config.rs
+++ b/arbutus-core/src/packet/packet_config.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddrV4, time::Duration};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -12,7 +12,7 @@
     /// Rises with each change, in uneven steps.
     pub version: ConfigVersion,
     /// Each entry's key is the address that callers use.
-    pub routes: IndexMap<SocketAddrV4, PacketRoute>,
+    pub routes: IndexMap<SocketAddrV4, Arc<PacketRoute>>,
     /// How long a flow may be idle before it may be forgotten.
     pub idle_timeout: Duration,
 }
--- a/arbutus-core/tests/packet/fixture.rs
+++ b/arbutus-core/tests/packet/fixture.rs
@@ -84,7 +84,7 @@
         name: Arc::from("r-1"),
         targets: targets.collect(),
     };
-    config.routes.insert(service_address(), route);
+    config.routes.insert(service_address(), Arc::new(route));
     config
 }
 
