feat(core): a balancer asks for open flows in rounds, and searches wait for its view

Questions for an agent leave in one datagram a round, paced by their number; a flow that is found is asked for no longer. A search that ends without a verdict waits up to 1.2 s for the view. Nearby agents that cannot tell try before others are asked, with the one smallest packet that must be answered. The successor's first heartbeat has the callers of its predecessor's flows told.

Tests: the rounds, the waiting search and its limit, the near tries and a dead one among them, the successor. A search that has to wait is no longer given up at once, so three cases say Wait first and the end after the limit.

--- a/arbutus-core/src/packet/backend_watch.rs
+++ b/arbutus-core/src/packet/backend_watch.rs
@@ -34,6 +34,8 @@
     heard_at: Timestamp,
     /// The first heartbeat of the present start that was heard here.
     first: Option<FirstHeard>,
+    /// When the backend server before the present one was last heard, until that is taken.
+    predecessor_heard: Option<Timestamp>,
     /// Whether the sender of `last` has said goodbye.
     left: bool,
     /// When it was first given an opening segment that nothing was heard after.
@@ -65,6 +67,7 @@
             last: None,
             heard_at: Timestamp::ZERO,
             first: None,
+            predecessor_heard: None,
             left: false,
             asked_since: None,
             asked_at: Timestamp::ZERO,
@@ -85,6 +88,7 @@
             .as_ref()
             .is_some_and(|it| same_start(it, &heartbeat));
         if !same_start {
+            self.predecessor_heard = self.last.as_ref().map(|_| self.heard_at);
             self.first = Some(FirstHeard {
                 sequence: heartbeat.sequence,
                 at: now,
@@ -110,6 +114,11 @@
         heartbeat.born_ms < last.born_ms
     }
 
+    /// When the backend server before the present one was last heard; tells it once.
+    pub(super) const fn take_predecessor(&mut self) -> Option<Timestamp> {
+        self.predecessor_heard.take()
+    }
+
     /// Takes in that the backend server called `id` ends; gives `false` where another one runs.
     pub fn on_goodbye(&mut self, id: &str) -> bool {
         let ours = self.last.as_ref().is_some_and(|it| *it.id == *id);
@@ -172,7 +181,6 @@
         };
         let heartbeat = self.fresh_for / Self::HEARTBEATS;
         let before = u32::try_from(first.sequence).unwrap_or(u32::MAX);
-        // Numbers may begin with one, and the first may be late by one.
         let age = heartbeat.saturating_mul(before.saturating_sub(Self::FIRST_NUMBERS));
         last.born_ms >= incarnation.get() && age <= first.at.since(start)
     }
--- a/arbutus-core/src/packet/flow_holder.rs
+++ b/arbutus-core/src/packet/flow_holder.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 
 use super::{
-    BackendState, BackendWatch, FlowId, HolderAction, HolderDrop, Refused, RelayHeader, ResetCause,
-    SearchAnswer, Segment,
+    BackendState, BackendWatch, FlowId, HolderAction, HolderDrop, Question, Refused, RelayHeader,
+    ResetCause, SearchAnswer, Segment,
     balancer_links::BalancerLinks,
     held_flow::{HeldFlow, Phase},
 };
@@ -223,21 +223,24 @@
         }
     }
 
-    /// Answers a balancer that asks for a flow whose caller has acknowledged up to `acknowledged`.
+    /// Answers a balancer that asks for flows, in the order of its questions.
     pub fn on_query(
         &mut self,
         balancer: SocketAddrV4,
-        flow: FlowId,
-        acknowledged: u32,
+        questions: &[Question],
         now: Timestamp,
-    ) -> SearchAnswer {
+    ) -> Vec<SearchAnswer> {
         self.links.note(balancer, now);
-        let mut segment = Segment::new(flow);
-        segment.acknowledged = acknowledged;
-        match self.flows.get(&flow) {
+        questions.iter().map(|it| self.answer(it)).collect()
+    }
+
+    fn answer(&self, question: &Question) -> SearchAnswer {
+        let mut segment = Segment::new(question.flow);
+        segment.acknowledged = question.acknowledged;
+        match self.flows.get(&question.flow) {
             Some(held) if held.confirms(&segment) => SearchAnswer::Holds,
             Some(_) => SearchAnswer::Denies,
-            None if self.knows_all_flows() || self.denied.contains_key(&flow) => {
+            None if self.knows_all_flows() || self.denied.contains_key(&question.flow) => {
                 SearchAnswer::Denies
             }
             None => SearchAnswer::Unsure,
@@ -328,7 +331,8 @@
     }
 
     /// Whether every flow of the backend server was opened through this process.
-    fn knows_all_flows(&self) -> bool {
+    #[must_use]
+    pub fn knows_all_flows(&self) -> bool {
         !self.forgot_flows
             && self
                 .backend
--- a/arbutus-core/src/packet/flow_holder/standing.rs
+++ b/arbutus-core/src/packet/flow_holder/standing.rs
@@ -1,16 +1,22 @@
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, time::Duration};
+
+use indexmap::IndexMap;
 
 use super::{FlowHolder, count};
 use crate::{
     packet::{
-        AgentReport, AgentStatus, BackendState, Heartbeat, HeartbeatOutcome, HolderAction,
-        ResetCause,
+        AgentReport, AgentStatus, BackendState, FlowId, Heartbeat, HeartbeatOutcome, HolderAction,
+        ResetCause, held_flow::HeldFlow,
     },
     time::Timestamp,
 };
 
 /// The part that hears the backend server and tells balancers how the agent stands.
 impl FlowHolder {
+    /// How long before the last heartbeat of a backend server a flow must have been known to be that
+    /// one's: heartbeats wait in a process that was frozen.
+    const PREDECESSOR_MARGIN: Duration = Duration::from_secs(1);
+
     /// Takes in a heartbeat of the backend server.
     pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Timestamp) -> HeartbeatOutcome {
         let outcome = self.backend.on_heartbeat(heartbeat, now);
@@ -33,15 +39,23 @@
     /// for it.
     pub fn give_up_flows(&mut self) -> Vec<HolderAction> {
         let flows = std::mem::take(&mut self.flows);
-        flows
-            .into_iter()
-            .filter(|(_, held)| held.is_open())
-            .map(|(flow, held)| HolderAction::Reset {
-                flow,
-                caller_has: held.caller_has,
-                cause: ResetCause::BackendEnded,
-            })
-            .collect()
+        resets(flows, ResetCause::BackendEnded)
+    }
+
+    /// Gives up the flows that certainly were those of the backend server before the present one, so
+    /// that callers hear of it before they send their next request.
+    ///
+    /// Flows that opened around the last heartbeat of the old one may be the new one's; they are
+    /// given up when it turns them away.
+    pub fn flows_of_predecessor(&mut self) -> Vec<HolderAction> {
+        let Some(heard_at) = self.backend.take_predecessor() else {
+            return Vec::new();
+        };
+        let before = |held: &HeldFlow| heard_at.since(held.known_at) >= Self::PREDECESSOR_MARGIN;
+        let flows = std::mem::take(&mut self.flows);
+        let (old, kept) = flows.into_iter().partition(|(_, held)| before(held));
+        self.flows = kept;
+        resets(old, ResetCause::BackendReplaced)
     }
 
     /// Takes no new flow from now on.
@@ -110,3 +124,13 @@
         self.links.some()
     }
 }
+
+fn resets(flows: IndexMap<FlowId, HeldFlow>, cause: ResetCause) -> Vec<HolderAction> {
+    let open = flows.into_iter().filter(|(_, held)| held.is_open());
+    open.map(|(flow, held)| HolderAction::Reset {
+        flow,
+        caller_has: held.caller_has,
+        cause,
+    })
+    .collect()
+}
--- a/arbutus-core/src/packet/held_flow.rs
+++ b/arbutus-core/src/packet/held_flow.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct HeldFlow {
     pub(super) phase: Phase,
+    /// When the flow became known here.
+    pub(super) known_at: Timestamp,
     pub(super) used_at: Timestamp,
     /// When the oldest data of the caller came that the backend server has not answered.
     pub(super) waiting_since: Option<Timestamp>,
@@ -42,6 +44,7 @@
     pub(super) const fn new(phase: Phase, now: Timestamp) -> Self {
         Self {
             phase,
+            known_at: now,
             used_at: now,
             waiting_since: None,
             caller_has: 0,
--- a/arbutus-core/src/packet/message.rs
+++ b/arbutus-core/src/packet/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{AgentReport, FlowId, RelayHeader, SearchAnswer};
+use super::{AgentReport, FlowId, Question, RelayHeader, SearchAnswer};
 
 /// What balancers and agents send each other in a datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,23 +23,31 @@
     /// An agent that the store does not list is made known: by a balancer to some agents, and by
     /// these to their balancers.
     Introduced(AgentReport),
-    /// A balancer asks an agent for a flow.
+    /// A balancer asks an agent for flows.
     Query {
         /// Where the answer goes.
         balancer: SocketAddrV4,
-        /// The flow.
-        flow: FlowId,
-        /// What the caller acknowledged last.
-        acknowledged: u32,
+        /// Names the query in its answer.
+        number: u32,
+        /// One for each flow.
+        questions: Vec<Question>,
     },
     /// An agent answers a query.
     Answer {
+        /// The agent.
+        agent: SocketAddrV4,
+        /// The query.
+        number: u32,
+        /// In the order of the questions.
+        answers: Vec<SearchAnswer>,
+    },
+    /// An agent whose backend server was given a flow's packet as the last resort says that it does
+    /// not hold the flow.
+    Denied {
         /// The agent.
         agent: SocketAddrV4,
         /// The flow.
         flow: FlowId,
-        /// What it says.
-        answer: SearchAnswer,
     },
     /// A balancer asks an agent for a report.
     Probe {
--- a/arbutus-core/src/packet/search.rs
+++ b/arbutus-core/src/packet/search.rs
@@ -20,25 +20,44 @@
 /// A balancer's question who holds an open flow, and the packets that wait for the answer.
 #[derive(Debug)]
 pub(super) struct Search {
-    pub(super) started_at: Timestamp,
+    begun_at: Timestamp,
+    /// When what the search waits for was sent.
+    asked_at: Timestamp,
     /// The last packet of the caller.
     pub(super) segment: Segment,
-    /// In the order of their arrival; at most [`Search::MAX_HELD`].
-    pub(super) held: Vec<Vec<u8>>,
-    /// Every agent that was asked, with its answer.
-    asked: IndexMap<SocketAddrV4, Option<SearchAnswer>>,
+    held: HeldPackets,
+    /// Every agent that was asked.
+    asked: IndexMap<SocketAddrV4, Asked>,
     /// Agents to ask if the first ones do not hold the flow.
     further: Vec<SocketAddrV4>,
-    /// Whether agents that cannot tell may be given the packets.
+    /// Whether agents that cannot tell may be given a packet.
     all: bool,
     /// Whether nobody but these agents can hold the flow.
     pub(super) everyone: bool,
     /// How often what was sent has been repeated.
     repeated: u32,
-    /// Whether agents that cannot tell have been given the packets.
+    /// Whether it waits until the balancer trusts that it knows every agent.
+    parked: bool,
+}
+
+/// What an agent that was asked has said.
+#[derive(Debug, Clone, Copy, Default)]
+struct Asked {
+    answer: Option<SearchAnswer>,
+    /// Whether its backend server was given a packet, so that it alone can still answer.
     tried: bool,
 }
 
+/// Packets that wait for a search.
+#[derive(Debug, Default)]
+struct HeldPackets {
+    /// In the order of their arrival; at most [`HeldPackets::MAX`].
+    packets: Vec<Vec<u8>>,
+    /// The one that tells whether a backend server holds the flow: the smallest that has to be
+    /// answered, as an index into `packets`.
+    telling: Option<usize>,
+}
+
 /// Where a search stands after an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum SearchState {
@@ -48,7 +67,7 @@
     Ask(Vec<SocketAddrV4>),
     /// This agent holds the flow.
     Found(SocketAddrV4),
-    /// Nobody holds the flow unless one of these does, which cannot tell; they are to try.
+    /// These cannot tell; their backend servers are to be given a packet.
     Try(Vec<SocketAddrV4>),
     /// Nobody holds the flow.
     Nobody,
@@ -57,18 +76,18 @@
 /// What becomes of a search whose answers are late.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum LateSearch {
-    /// These are asked again.
-    AskAgain(Vec<SocketAddrV4>),
-    /// These get the packets again.
-    TryAgain(Vec<SocketAddrV4>),
+    /// What was sent may be lost.
+    Again {
+        /// These are asked, for the first time or again.
+        ask: Vec<SocketAddrV4>,
+        /// These get the packet again.
+        retry: Vec<SocketAddrV4>,
+    },
     /// It ends.
     GiveUp,
 }
 
 impl Search {
-    /// Packets that wait; a caller has few under way before it hears anything.
-    const MAX_HELD: usize = 4;
-
     /// How often what was sent is repeated.
     const REPETITIONS: u32 = 2;
 
@@ -78,22 +97,26 @@
     /// How long answers are waited for: less than a caller waits before it sends again.
     const TIMEOUT: Duration = Duration::from_millis(180);
 
+    /// How long a search waits for a balancer to learn of every agent.
+    const PARKED: Duration = Duration::from_millis(1_200);
+
     pub(super) fn new(
         segment: &Segment,
-        first: Vec<SocketAddrV4>,
+        first: &[SocketAddrV4],
         further: Vec<SocketAddrV4>,
         now: Timestamp,
     ) -> Self {
         Self {
-            started_at: now,
+            begun_at: now,
+            asked_at: now,
             segment: *segment,
-            held: Vec::new(),
-            asked: first.into_iter().map(|it| (it, None)).collect(),
+            held: HeldPackets::default(),
+            asked: first.iter().map(|it| (*it, Asked::default())).collect(),
             further,
             all: false,
             everyone: false,
             repeated: 0,
-            tried: false,
+            parked: false,
         }
     }
 
@@ -104,11 +127,32 @@
         self
     }
 
+    /// Takes over what waited for a search of the same flow that ended without a result.
+    pub(super) fn succeeds(mut self, earlier: Self) -> Self {
+        self.begun_at = earlier.begun_at;
+        self.held = earlier.held;
+        self
+    }
+
+    /// Notes that what it waits for leaves at `at`.
+    pub(super) const fn asked_at(&mut self, at: Timestamp) {
+        self.asked_at = at;
+    }
+
     pub(super) fn hold(&mut self, segment: &Segment, packet: &[u8]) {
         self.segment = *segment;
-        if self.held.len() < Self::MAX_HELD {
-            self.held.push(packet.to_vec());
-        }
+        self.held.push(segment, packet);
+    }
+
+    /// The packet that tells whether a backend server holds the flow.
+    pub(super) fn telling_packet(&self) -> Vec<Vec<u8>> {
+        self.held.telling().into_iter().cloned().collect()
+    }
+
+    /// The packets that `agent`, which holds the flow, has not been given.
+    pub(super) fn packets_for(self, agent: SocketAddrV4) -> Vec<Vec<u8>> {
+        let tried = self.asked.get(&agent).is_some_and(|it| it.tried);
+        self.held.all_but_telling_if(tried)
     }
 
     /// Takes in what an agent says.
@@ -116,34 +160,68 @@
         if answer == SearchAnswer::Holds {
             return SearchState::Found(agent);
         }
-        if let Some(slot) = self.asked.get_mut(&agent) {
-            *slot = Some(answer);
-        }
-        if self.asked.values().any(Option::is_none) {
+        if self.parked {
             return SearchState::Waiting;
         }
-        if !self.further.is_empty() {
-            let further = std::mem::take(&mut self.further);
-            self.asked.extend(further.iter().map(|it| (*it, None)));
-            return SearchState::Ask(further);
+        if let Some(asked) = self.asked.get_mut(&agent) {
+            // Only the backend server's own word counts after it was given a packet.
+            if !(asked.tried && answer == SearchAnswer::Unsure) {
+                asked.answer = Some(answer);
+            }
+        }
+        let unanswered = |it: &Asked| it.answer.is_none() && !it.tried;
+        if self.asked.values().any(unanswered) {
+            return SearchState::Waiting;
         }
         self.after_all_answers()
     }
 
+    /// Goes on when every question has been answered; backend servers that were given a packet may
+    /// not have.
     fn after_all_answers(&mut self) -> SearchState {
-        if self.tried {
-            return SearchState::Nobody;
-        }
-        self.tried = true;
         let unsure = self.unsure();
         // The flow's packets must not reach other backend servers alone.
-        if unsure.is_empty() || !self.all {
-            return SearchState::Nobody;
+        if !unsure.is_empty() && self.all {
+            for agent in &unsure {
+                let tried = Asked {
+                    answer: None,
+                    tried: true,
+                };
+                self.asked.insert(*agent, tried);
+            }
+            return SearchState::Try(unsure);
+        }
+        if self.asked.values().any(|it| it.answer.is_none()) {
+            return SearchState::Waiting;
         }
-        for agent in &unsure {
-            self.asked.insert(*agent, None);
+        if !self.further.is_empty() {
+            let further = std::mem::take(&mut self.further);
+            self.note_asked(&further);
+            return SearchState::Ask(further);
         }
-        SearchState::Try(unsure)
+        SearchState::Nobody
+    }
+
+    fn note_asked(&mut self, agents: &[SocketAddrV4]) {
+        let asked = agents.iter().map(|it| (*it, Asked::default()));
+        self.asked.extend(asked);
+    }
+
+    /// Has the search wait for the balancer to learn of every agent; gives `false` where it has
+    /// waited for long enough or nobody waits for a result.
+    pub(super) fn park(&mut self, now: Timestamp) -> bool {
+        self.parked = self.segment.expects_answer() && !self.is_overdue(now);
+        self.parked
+    }
+
+    /// Whether it waits until the balancer trusts that it knows every agent.
+    pub(super) const fn is_parked(&self) -> bool {
+        self.parked
+    }
+
+    /// Whether it has waited long enough for a balancer to learn of every agent.
+    pub(super) fn is_overdue(&self, now: Timestamp) -> bool {
+        now.since(self.begun_at) >= Self::PARKED
     }
 
     /// Whether answers are late.
@@ -153,38 +231,34 @@
         } else {
             Self::NEAR_TIMEOUT
         };
-        now.since(self.started_at) >= timeout
+        !self.parked && now.since(self.asked_at) >= timeout
     }
 
-    /// Decides what becomes of the search when answers are late: what was sent may be lost.
+    /// Decides what becomes of the search when answers are late.
     pub(super) fn on_late(&mut self, now: Timestamp) -> LateSearch {
         if self.repeated >= Self::REPETITIONS {
             return LateSearch::GiveUp;
         }
         self.repeated += 1;
-        self.started_at = now;
-        let mut missing = self.missing();
-        for agent in std::mem::take(&mut self.further) {
-            self.asked.insert(agent, None);
-            missing.push(agent);
-        }
-        if self.tried {
-            LateSearch::TryAgain(missing)
-        } else {
-            LateSearch::AskAgain(missing)
-        }
+        self.asked_at = now;
+        let further = std::mem::take(&mut self.further);
+        self.note_asked(&further);
+        let (retry, ask) = self
+            .missing()
+            .into_iter()
+            .partition(|it| self.asked.get(it).is_some_and(|asked| asked.tried));
+        LateSearch::Again { ask, retry }
     }
 
     /// Agents that could not tell.
     fn unsure(&self) -> Vec<SocketAddrV4> {
-        let unsure =
-            |it: &(&SocketAddrV4, &Option<SearchAnswer>)| *it.1 == Some(SearchAnswer::Unsure);
+        let unsure = |it: &(&SocketAddrV4, &Asked)| it.1.answer == Some(SearchAnswer::Unsure);
         self.asked.iter().filter(unsure).map(|it| *it.0).collect()
     }
 
     /// Agents that have not answered.
     pub(super) fn missing(&self) -> Vec<SocketAddrV4> {
-        let missing = self.asked.iter().filter(|(_, answer)| answer.is_none());
+        let missing = self.asked.iter().filter(|(_, it)| it.answer.is_none());
         missing.map(|(agent, _)| *agent).collect()
     }
 
@@ -195,6 +269,33 @@
 
     /// How many agents have answered.
     pub(super) fn answered(&self) -> usize {
-        self.asked.values().flatten().count()
+        self.asked.len() - self.missing().len()
+    }
+}
+
+impl HeldPackets {
+    /// Packets that wait; a caller has few under way before it hears anything.
+    const MAX: usize = 4;
+
+    fn push(&mut self, segment: &Segment, packet: &[u8]) {
+        if self.packets.len() >= Self::MAX {
+            return;
+        }
+        let smaller = self.telling().is_none_or(|it| packet.len() < it.len());
+        if segment.expects_answer() && smaller {
+            self.telling = Some(self.packets.len());
+        }
+        self.packets.push(packet.to_vec());
+    }
+
+    fn telling(&self) -> Option<&Vec<u8>> {
+        self.packets.get(self.telling?)
+    }
+
+    fn all_but_telling_if(mut self, given: bool) -> Vec<Vec<u8>> {
+        if let Some(index) = self.telling.filter(|_| given) {
+            self.packets.remove(index);
+        }
+        self.packets
     }
 }
--- a/arbutus-core/src/packet/search_step.rs
+++ b/arbutus-core/src/packet/search_step.rs
@@ -7,13 +7,8 @@
 pub enum SearchStep {
     /// Nothing.
     Wait,
-    /// Ask these agents too.
-    Ask {
-        /// The agents.
-        agents: Vec<SocketAddrV4>,
-        /// What the caller acknowledged last.
-        acknowledged: u32,
-    },
+    /// These agents are asked too, with the next round of questions.
+    Ask(Vec<SocketAddrV4>),
     /// Send the packets that waited.
     Relay {
         /// What goes ahead of the packets, one for each agent that gets them.
--- a/arbutus-core/src/packet/steer.rs
+++ b/arbutus-core/src/packet/steer.rs
@@ -12,7 +12,8 @@
         /// Set where the packet was the first of a new flow here.
         placed: Option<Choice>,
     },
-    /// Ask these agents who holds the flow; the packet is held.
+    /// These agents are asked who holds the flow, with the next round of questions; the packet is
+    /// held.
     Ask(Vec<SocketAddrV4>),
     /// The packet is held until the agents have answered.
     Held,
@@ -46,6 +47,8 @@
     NoRoute,
     /// No agent of the service is known that could take the packet.
     NoAgent,
+    /// As many flows are searched as the balancer has room for.
+    TooManySearches,
     /// The packet claims to come from a backend server.
     NotACaller,
 }
@@ -58,6 +61,7 @@
             Self::NoConfig => "no-config",
             Self::NoRoute => "no-route",
             Self::NoAgent => "no-agent",
+            Self::TooManySearches => "too-many-searches",
             Self::NotACaller => "not-a-caller",
         }
     }
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -6,11 +6,12 @@
 
 use super::{
     AgentListing, AgentReport, Choice, FlowId, MemberChange, PacketConfig, PacketRoute,
-    PeerSnapshot, RelayHeader, Segment, Steer, SteerDrop,
+    PeerSnapshot, RelayHeader, SearchStep, Segment, Steer, SteerDrop,
     flow_cache::{CachedFlow, FlowCache},
     member::Member,
     member_table::MemberTable,
     placement::Placement,
+    query_outbox::QueryOutbox,
     search::Search,
     view::View,
 };
@@ -40,6 +41,7 @@
     flows: FlowCache,
     /// At most [`Steering::MAX_SEARCHES`].
     searches: IndexMap<FlowId, Search>,
+    queries: QueryOutbox,
     view: View,
     /// A configuration that others have; always newer than `config`.
     missed: Option<MissedConfig>,
@@ -99,6 +101,7 @@
             members: MemberTable::default(),
             flows: FlowCache::default(),
             searches: IndexMap::new(),
+            queries: QueryOutbox::default(),
             view: View::new(now),
             missed: None,
         }
@@ -349,14 +352,21 @@
         self.view.on_peer(settled, now);
     }
 
-    /// Takes in that an agent holds a flow.
-    pub fn on_holding(&mut self, agent: SocketAddrV4, flow: FlowId, open: bool, now: Timestamp) {
+    /// Takes in that an agent holds a flow; gives what is to be done with packets that waited.
+    pub fn on_holding(
+        &mut self,
+        agent: SocketAddrV4,
+        flow: FlowId,
+        open: bool,
+        now: Timestamp,
+    ) -> SearchStep {
         if open {
-            self.flows.confirm(flow, agent, now);
-            self.searches.swap_remove(&flow);
-        } else if !self.flows.get(&flow, now).is_some_and(|it| it.confirmed) {
+            return self.on_found(agent, flow, now);
+        }
+        if !self.flows.get(&flow, now).is_some_and(|it| it.confirmed) {
             self.flows.place(flow, agent, now);
         }
+        SearchStep::Wait
     }
 
     /// Agents to ask for a report now; call it a few times a second.
--- a/arbutus-core/src/packet/steering/searching.rs
+++ b/arbutus-core/src/packet/steering/searching.rs
@@ -3,7 +3,8 @@
 use super::Steering;
 use crate::{
     packet::{
-        FlowId, PacketRoute, RelayHeader, SearchAnswer, SearchStep, Segment, Steer, SteerDrop,
+        FlowId, PacketRoute, QueryBatch, Question, RelayHeader, SearchAnswer, SearchStep, Segment,
+        Steer, SteerDrop,
         search::{LateSearch, Search, SearchState},
     },
     time::Timestamp,
@@ -22,6 +23,25 @@
             search.hold(segment, packet);
             return Steer::Held;
         }
+        if self.searches.len() >= Self::MAX_SEARCHES {
+            return Steer::Drop(SteerDrop::TooManySearches);
+        }
+        let Some((mut search, asked)) = self.begin(segment, route, now) else {
+            return Steer::Drop(SteerDrop::NoAgent);
+        };
+        search.hold(segment, packet);
+        self.searches.insert(segment.flow, search);
+        self.ask(&asked, segment, now);
+        Steer::Ask(asked)
+    }
+
+    /// Makes a search, and gives the agents that are asked first; nothing where none answers.
+    fn begin(
+        &self,
+        segment: &Segment,
+        route: &PacketRoute,
+        now: Timestamp,
+    ) -> Option<(Search, Vec<SocketAddrV4>)> {
         let likely = self.placement(now).for_search(&route.targets);
         let everyone = likely.all && self.view.is_complete(now);
         let all = likely.all && self.view.may_try(now);
@@ -30,26 +50,64 @@
         } else {
             (likely.near, likely.far)
         };
-        let asked: Vec<_> = first.iter().chain(&likely.silent).copied().collect();
-        if first.is_empty() || self.searches.len() >= Self::MAX_SEARCHES {
-            return Steer::Drop(SteerDrop::NoAgent);
+        if first.is_empty() {
+            return None;
         }
-        let mut search = Search::new(segment, first, further, now).covers(all, everyone);
-        search.hold(segment, packet);
-        self.searches.insert(segment.flow, search);
-        self.note_asked(&asked, now);
-        Steer::Ask(asked)
+        let search = Search::new(segment, &first, further, now).covers(all, everyone);
+        let asked = first.into_iter().chain(likely.silent).collect();
+        Some((search, asked))
     }
 
-    fn note_asked(&mut self, agents: &[SocketAddrV4], now: Timestamp) {
+    /// Has agents asked for the flow of `segment` with the next round of questions.
+    fn ask(&mut self, agents: &[SocketAddrV4], segment: &Segment, now: Timestamp) {
+        let question = Question {
+            flow: segment.flow,
+            acknowledged: segment.acknowledged,
+        };
+        let leaves = self.queries.add(agents, question, now);
+        self.note_asked(agents, leaves);
+        if let Some(search) = self.searches.get_mut(&segment.flow) {
+            search.asked_at(leaves);
+        }
+    }
+
+    fn note_asked(&mut self, agents: &[SocketAddrV4], at: Timestamp) {
         for agent in agents {
             if let Some(member) = self.members.get_mut(*agent) {
-                member.note_sent(now);
+                member.note_sent(at);
             }
         }
     }
 
-    /// Takes in an agent's answer to a search.
+    /// When the next round of questions leaves, if one waits.
+    #[must_use]
+    pub fn queries_due(&self) -> Option<Timestamp> {
+        self.queries.due()
+    }
+
+    /// The questions that leave now.
+    pub fn take_queries(&mut self, now: Timestamp) -> Vec<QueryBatch> {
+        let searches = &self.searches;
+        self.queries
+            .take_due(|flow| searches.contains_key(flow), now)
+    }
+
+    /// Takes in an agent's answers to the batch `number`, in the order of its questions.
+    pub fn on_answers(
+        &mut self,
+        agent: SocketAddrV4,
+        number: u32,
+        answers: &[SearchAnswer],
+        now: Timestamp,
+    ) -> Vec<(FlowId, SearchStep)> {
+        let flows = self.queries.answered(agent, number);
+        let pairs = flows.into_iter().zip(answers);
+        pairs
+            .map(|(flow, answer)| (flow, self.on_answer(agent, flow, *answer, now)))
+            .collect()
+    }
+
+    /// Takes in what an agent says of a flow.
     pub fn on_answer(
         &mut self,
         agent: SocketAddrV4,
@@ -66,30 +124,34 @@
         match search.on_answer(agent, answer) {
             SearchState::Waiting => SearchStep::Wait,
             SearchState::Ask(agents) => {
-                let acknowledged = search.segment.acknowledged;
-                self.ask(agents, acknowledged, now)
-            }
-            SearchState::Found(agent) => {
-                self.flows.confirm(flow, agent, now);
-                let search = self.searches.swap_remove(&flow);
-                let packets = search.map(|it| it.held).unwrap_or_default();
-                self.relay([agent], packets, |header| header.known(true))
+                let segment = search.segment;
+                self.ask(&agents, &segment, now);
+                SearchStep::Ask(agents)
             }
+            SearchState::Found(agent) => self.on_found(agent, flow, now),
             SearchState::Try(agents) => {
-                let packets = search.held.clone();
+                let packet = search.telling_packet();
+                search.asked_at(now);
                 self.note_asked(&agents, now);
-                self.relay(agents, packets, RelayHeader::last_resort)
+                self.relay(agents, packet, RelayHeader::last_resort)
             }
-            SearchState::Nobody => self.end_in_vain(&flow),
+            SearchState::Nobody => self.end_in_vain(&flow, now),
         }
     }
 
-    fn ask(&mut self, agents: Vec<SocketAddrV4>, acknowledged: u32, now: Timestamp) -> SearchStep {
-        self.note_asked(&agents, now);
-        SearchStep::Ask {
-            agents,
-            acknowledged,
-        }
+    /// Notes that an agent holds an open flow, and sends it what has waited.
+    pub(super) fn on_found(
+        &mut self,
+        agent: SocketAddrV4,
+        flow: FlowId,
+        now: Timestamp,
+    ) -> SearchStep {
+        self.flows.confirm(flow, agent, now);
+        let Some(search) = self.searches.swap_remove(&flow) else {
+            return SearchStep::Wait;
+        };
+        let packets = search.packets_for(agent);
+        self.relay([agent], packets, |header| header.known(true))
     }
 
     fn relay(
@@ -108,18 +170,30 @@
         }
     }
 
-    fn end_in_vain(&mut self, flow: &FlowId) -> SearchStep {
-        let Some(search) = self.searches.swap_remove(flow) else {
+    fn end_in_vain(&mut self, flow: &FlowId, now: Timestamp) -> SearchStep {
+        let Some(search) = self.searches.get_mut(flow) else {
             return SearchStep::Wait;
         };
         let segment = search.segment;
         if search.everyone && segment.expects_answer() {
+            let denied = search.answered();
+            self.searches.swap_remove(flow);
             return SearchStep::Reset {
                 flow: *flow,
                 caller_has: segment.acknowledged,
-                denied: search.answered(),
+                denied,
             };
         }
+        if !search.everyone && search.park(now) {
+            return SearchStep::Wait;
+        }
+        self.give_up(flow)
+    }
+
+    fn give_up(&mut self, flow: &FlowId) -> SearchStep {
+        let Some(search) = self.searches.swap_remove(flow) else {
+            return SearchStep::Wait;
+        };
         SearchStep::GiveUp {
             asked: search.asked(),
             missing: search.missing(),
@@ -132,40 +206,60 @@
         !self.searches.is_empty()
     }
 
-    /// Repeats what was sent for searches whose answers are late, and ends those that have had their
-    /// repetitions.
+    /// Repeats what was sent for searches whose answers are late, ends those that have had their
+    /// repetitions, and goes on with those that waited for the balancer to learn of every agent.
     pub fn expire_searches(&mut self, now: Timestamp) -> Vec<(FlowId, SearchStep)> {
-        let searches = self.searches.iter_mut().filter(|(_, it)| it.is_late(now));
-        let states: Vec<_> = searches
-            .map(|(flow, it)| (*flow, it.on_late(now)))
-            .collect();
-        states
-            .into_iter()
-            .map(|(flow, state)| (flow, self.after_late(&flow, state, now)))
-            .collect()
+        self.queries.expire(now);
+        let parked = self.searches.iter().filter(|(_, it)| it.is_parked());
+        let parked: Vec<_> = parked.map(|(flow, _)| *flow).collect();
+        let late = self.searches.iter_mut().filter(|(_, it)| it.is_late(now));
+        let late: Vec<_> = late.map(|(flow, it)| (*flow, it.on_late(now))).collect();
+        let mut steps = Vec::new();
+        for flow in parked {
+            steps.extend(self.after_parking(&flow, now).map(|it| (flow, it)));
+        }
+        for (flow, state) in late {
+            let after = self.after_late(&flow, state, now);
+            steps.extend(after.into_iter().map(|it| (flow, it)));
+        }
+        steps
+    }
+
+    /// Asks everyone once the balancer knows every agent: earlier answers may be of another start.
+    fn after_parking(&mut self, flow: &FlowId, now: Timestamp) -> Option<SearchStep> {
+        let segment = self.searches.get(flow)?.segment;
+        let config = self.config.as_ref()?;
+        let route = config.routes.get(&flow.service).cloned();
+        let begun = route.and_then(|it| self.begin(&segment, &it, now));
+        if let Some((search, asked)) = begun.filter(|(search, _)| search.everyone) {
+            let earlier = self.searches.swap_remove(flow)?;
+            self.searches.insert(*flow, search.succeeds(earlier));
+            self.ask(&asked, &segment, now);
+            return Some(SearchStep::Ask(asked));
+        }
+        let overdue = self.searches.get(flow)?.is_overdue(now);
+        overdue.then(|| self.give_up(flow))
     }
 
-    fn after_late(&mut self, flow: &FlowId, state: LateSearch, now: Timestamp) -> SearchStep {
+    fn after_late(&mut self, flow: &FlowId, state: LateSearch, now: Timestamp) -> Vec<SearchStep> {
         let Some(search) = self.searches.get(flow) else {
-            return SearchStep::Wait;
+            return Vec::new();
         };
         match state {
-            LateSearch::AskAgain(agents) => {
-                let acknowledged = search.segment.acknowledged;
-                self.ask(agents, acknowledged, now)
-            }
-            LateSearch::TryAgain(agents) => {
-                let packets = search.held.clone();
-                self.relay(agents, packets, RelayHeader::last_resort)
-            }
-            LateSearch::GiveUp => {
-                let step = SearchStep::GiveUp {
-                    asked: search.asked(),
-                    missing: search.missing(),
-                };
-                self.searches.swap_remove(flow);
-                step
+            LateSearch::Again { ask, retry } => {
+                let segment = search.segment;
+                let packet = search.telling_packet();
+                let mut steps = Vec::new();
+                if !retry.is_empty() {
+                    steps.push(self.relay(retry, packet, RelayHeader::last_resort));
+                }
+                if !ask.is_empty() {
+                    self.ask(&ask, &segment, now);
+                    steps.push(SearchStep::Ask(ask));
+                }
+                steps
             }
+            LateSearch::GiveUp => vec![self.give_up(flow)],
         }
     }
 }
--- a/arbutus-io/src/metrics/packet_balancer_metrics.rs
+++ b/arbutus-io/src/metrics/packet_balancer_metrics.rs
@@ -14,6 +14,8 @@
     pub placed: Counter,
     /// Open flows that were asked for.
     pub searched: Counter,
+    /// Questions sent to agents, each for up to some dozens of flows.
+    pub queries: Counter,
     /// Flows given up because nobody holds them.
     pub resets: Counter,
     /// Packets dropped, by reason.
@@ -40,6 +42,7 @@
             relayed: Counter::default(),
             placed: Counter::default(),
             searched: Counter::default(),
+            queries: Counter::default(),
             resets: Counter::default(),
             dropped: Family::default(),
             send_failed: Counter::default(),
@@ -68,6 +71,11 @@
             "Open flows that were asked for",
             self.searched.clone(),
         );
+        registry.register(
+            "arbutus_queries",
+            "Datagrams with questions to agents",
+            self.queries.clone(),
+        );
         registry.register(
             "arbutus_flow_resets",
             "Flows given up because nobody holds them",
--- a/arbutus-io/src/packet/agent.rs
+++ b/arbutus-io/src/packet/agent.rs
@@ -5,7 +5,7 @@
 use arbutus_core::{
     packet::{
         AgentReport, FlowHolder, FlowId, Heartbeat, HeartbeatOutcome, HolderAction, HolderSettings,
-        Message, RelayHeader, SearchAnswer, Segment,
+        Message, Question, RelayHeader, Segment,
     },
     time::Timestamp,
 };
@@ -107,32 +107,46 @@
                 Ok((
                     Message::Query {
                         balancer,
-                        flow,
-                        acknowledged,
+                        number,
+                        questions,
                     },
                     _,
-                )) => self.on_query(balancer, flow, acknowledged, now),
+                )) => self.on_query(balancer, number, &questions, now),
                 Ok((Message::Introduced(newcomer), _)) => self.pass_introduction(newcomer),
-                Ok((Message::Report(_) | Message::Holding { .. } | Message::Answer { .. }, _)) => {
-                    self.count_drop("not-for-us");
-                }
+                Ok((
+                    Message::Report(_)
+                    | Message::Holding { .. }
+                    | Message::Answer { .. }
+                    | Message::Denied { .. },
+                    _,
+                )) => self.count_drop("not-for-us"),
                 Err(_) => self.count_drop("unreadable-message"),
             }
         }
     }
 
-    fn on_query(&self, balancer: SocketAddrV4, flow: FlowId, acknowledged: u32, now: Timestamp) {
+    fn on_query(
+        &self,
+        balancer: SocketAddrV4,
+        number: u32,
+        questions: &[Question],
+        now: Timestamp,
+    ) {
         let mut state = self.state.lock();
-        let answer = state.holder.on_query(balancer, flow, acknowledged, now);
+        let answers = state.holder.on_query(balancer, questions, now);
         drop(state);
-        self.answer(balancer, flow, answer);
+        let message = Message::Answer {
+            agent: self.settings.agent,
+            number,
+            answers,
+        };
+        self.check(self.sockets.peers.send(&message.encode(&[]), balancer));
     }
 
-    fn answer(&self, balancer: SocketAddrV4, flow: FlowId, answer: SearchAnswer) {
-        let message = Message::Answer {
+    fn deny(&self, balancer: SocketAddrV4, flow: FlowId) {
+        let message = Message::Denied {
             agent: self.settings.agent,
             flow,
-            answer,
         };
         self.check(self.sockets.peers.send(&message.encode(&[]), balancer));
     }
@@ -194,9 +208,7 @@
                     self.check(self.sockets.peers.send(&message, agent));
                 }
             }
-            HolderAction::Deny { balancer } => {
-                self.answer(balancer, segment.flow, SearchAnswer::Denies);
-            }
+            HolderAction::Deny { balancer } => self.deny(balancer, segment.flow),
             HolderAction::ToCaller {
                 answered_after,
                 tell,
@@ -292,18 +304,23 @@
     /// Takes in a heartbeat of the backend server.
     pub fn on_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatOutcome {
         let now = clock::now();
-        let (id, sequence) = (heartbeat.id.clone(), heartbeat.sequence);
+        let (id, sequence, born_ms) = (heartbeat.id.clone(), heartbeat.sequence, heartbeat.born_ms);
         let mut state = self.state.lock();
         let outcome = state.holder.on_heartbeat(heartbeat, now);
         let backend = state.holder.backend().state(now);
+        let knows_all_flows = state.holder.knows_all_flows();
+        let given_up = state.holder.flows_of_predecessor();
         drop(state);
+        self.reset_all(given_up);
         let label = ReasonLabel {
             reason: outcome_name(outcome),
         };
         self.metrics.heartbeats.get_or_create(&label).inc();
         match outcome {
             HeartbeatOutcome::Changed => {
-                tracing::info!(%id, sequence, ?backend, "backend_server_changed");
+                tracing::info!(
+                    %id, sequence, born_ms, ?backend, knows_all_flows, "backend_server_changed"
+                );
                 self.send_reports(now);
             }
             HeartbeatOutcome::Same => {}
@@ -325,7 +342,11 @@
 
     /// Tells the callers of open flows that the backend server has ended.
     pub fn give_up_flows(&self) {
-        let actions = self.state.lock().holder.give_up_flows();
+        let given_up = self.state.lock().holder.give_up_flows();
+        self.reset_all(given_up);
+    }
+
+    fn reset_all(&self, actions: Vec<HolderAction>) {
         for action in actions {
             if let HolderAction::Reset { flow, cause, .. } = &action {
                 tracing::info!(%flow, cause = cause.name(), "flow_reset");
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -103,16 +103,25 @@
             if let Some(pause) = pauses.look() {
                 self.on_pause(pause);
             }
-            let searching = self.state.lock().steering.is_searching();
+            let (searching, queries_due) = self.searching();
             tokio::select! {
                 () = self.sockets.callers.readable() => self.take_packets(&mut buf),
                 () = self.sockets.peers.readable() => self.take_messages(&mut buf),
                 _ = tick.tick() => self.on_tick(),
                 _ = search_tick.tick(), if searching => self.expire_searches(clock::now()),
+                () = time::sleep(queries_due), if searching => self.send_queries(clock::now()),
             }
         }
     }
 
+    /// Whether some flow is searched, and how long until the next round of questions leaves.
+    fn searching(&self) -> (bool, Duration) {
+        let state = self.state.lock();
+        let due = state.steering.queries_due();
+        let wait = due.map_or(Self::TICK, |it| it.since(clock::now()));
+        (state.steering.is_searching(), wait)
+    }
+
     /// After a pause, agents and configuration may have changed unheard.
     fn on_pause(&self, pause: Duration) {
         let now = clock::now();
@@ -152,28 +161,46 @@
             Steer::Ask(agents) => {
                 self.log_searched(&mut state, &segment, agents.len(), now);
                 drop(state);
-                self.ask(segment.flow, segment.acknowledged, &agents);
+                self.send_queries(now);
             }
             Steer::Held => {}
             Steer::Drop(reason) => self.log_dropped(&mut state, &segment, reason, now),
         }
     }
 
-    fn ask(&self, flow: FlowId, acknowledged: u32, agents: &[SocketAddrV4]) {
-        let query = Message::Query {
-            balancer: self.settings.balancer,
-            flow,
-            acknowledged,
-        };
-        let query = query.encode(&[]);
-        for agent in agents {
-            self.send(&query, *agent);
+    /// Sends the questions that are due.
+    fn send_queries(&self, now: Timestamp) {
+        let batches = self.state.lock().steering.take_queries(now);
+        for batch in batches {
+            self.metrics.queries.inc();
+            let query = Message::Query {
+                balancer: self.settings.balancer,
+                number: batch.number,
+                questions: batch.questions,
+            };
+            self.send(&query.encode(&[]), batch.agent);
         }
     }
 
-    fn on_answer(&self, agent: SocketAddrV4, flow: FlowId, answer: SearchAnswer, now: Timestamp) {
+    fn on_answers(
+        &self,
+        agent: SocketAddrV4,
+        number: u32,
+        answers: &[SearchAnswer],
+        now: Timestamp,
+    ) {
         let mut state = self.state.lock();
-        let step = state.steering.on_answer(agent, flow, answer, now);
+        let steps = state.steering.on_answers(agent, number, answers, now);
+        drop(state);
+        for (flow, step) in steps {
+            self.carry_out(flow, step, now);
+        }
+    }
+
+    fn on_denied(&self, agent: SocketAddrV4, flow: FlowId, now: Timestamp) {
+        let mut state = self.state.lock();
+        let denies = SearchAnswer::Denies;
+        let step = state.steering.on_answer(agent, flow, denies, now);
         drop(state);
         self.carry_out(flow, step, now);
     }
@@ -181,10 +208,7 @@
     fn carry_out(&self, flow: FlowId, step: SearchStep, now: Timestamp) {
         match step {
             SearchStep::Wait => {}
-            SearchStep::Ask {
-                agents,
-                acknowledged,
-            } => self.ask(flow, acknowledged, &agents),
+            SearchStep::Ask(_) => self.send_queries(now),
             SearchStep::Relay { headers, packets } => {
                 self.log_found(&flow, &headers, now);
                 for header in headers {
@@ -246,16 +270,19 @@
             }
             Ok((Message::Holding { agent, flow, open }, _)) => {
                 let mut state = self.state.lock();
-                state.steering.on_holding(agent, flow, open, now);
+                let step = state.steering.on_holding(agent, flow, open, now);
+                drop(state);
+                self.carry_out(flow, step, now);
             }
             Ok((
                 Message::Answer {
                     agent,
-                    flow,
-                    answer,
+                    number,
+                    answers,
                 },
                 _,
-            )) => self.on_answer(agent, flow, answer, now),
+            )) => self.on_answers(agent, number, &answers, now),
+            Ok((Message::Denied { agent, flow }, _)) => self.on_denied(agent, flow, now),
             Ok((Message::Introduced(report), _)) => {
                 self.on_report(report, now);
             }
