fix(core): an agent that started together with its backend server knows all its flows

A backend server that was born at most 250 ms before its agent's process had no flows through an earlier process of the agent: that one would have had to start, hear a heartbeat, end, and be started again. The number of its first heartbeat may be 3, as it repeats those that nobody takes.

--- a/arbutus-core/src/packet/backend_watch.rs
+++ b/arbutus-core/src/packet/backend_watch.rs
@@ -48,8 +48,14 @@
     /// Heartbeats that may be missing before a backend server gets no new flow.
     const HEARTBEATS: u32 = 3;
 
-    /// Heartbeats of a backend server that may have been sent right after its start.
-    const FIRST_NUMBERS: u32 = 2;
+    /// Heartbeats of a backend server that may have been sent right after its start, until its agent
+    /// had started too.
+    const FIRST_NUMBERS: u32 = 3;
+
+    /// How much earlier than an agent the backend server beside it may have started without having
+    /// had flows through an earlier process of the agent: that one would have had to start, hear it,
+    /// end and be started again.
+    const STARTED_TOGETHER: Duration = Duration::from_millis(250);
 
     /// How long a backend server may leave an opening segment unanswered before others are asked.
     const UNRESPONSIVE: Duration = Duration::from_millis(120);
@@ -171,7 +177,8 @@
             .is_some_and(|since| now.since(since) >= Self::UNRESPONSIVE)
     }
 
-    /// Whether the backend server started after a process of `incarnation` that started at `start`.
+    /// Whether the backend server started after a process of `incarnation` that started at `start`,
+    /// or together with it.
     ///
     /// The wall clock tells, unless it was set meanwhile; so the number of heartbeats before the
     /// first one heard must fit too.
@@ -182,7 +189,8 @@
         let heartbeat = self.fresh_for / Self::HEARTBEATS;
         let before = u32::try_from(first.sequence).unwrap_or(u32::MAX);
         let age = heartbeat.saturating_mul(before.saturating_sub(Self::FIRST_NUMBERS));
-        last.born_ms >= incarnation.get() && age <= first.at.since(start)
+        let together = u64::try_from(Self::STARTED_TOGETHER.as_millis()).unwrap_or(0);
+        last.born_ms.saturating_add(together) >= incarnation.get() && age <= first.at.since(start)
     }
 
     /// Its last heartbeat.
--- a/arbutus-core/tests/packet/holder_cases.rs
+++ b/arbutus-core/tests/packet/holder_cases.rs
@@ -179,6 +179,25 @@
     assert_eq!(answer, case.answer, "{case:?}");
 }
 
+#[derive(Debug)]
+struct Start {
+    born_ms: u64,
+    number: u64,
+    answer: SearchAnswer,
+}
+
+/// Agents started at the wall clock's millisecond 9,000.
+#[rstest]
+#[case(Start { born_ms: 8_750, number: 3, answer: SearchAnswer::Denies })]
+#[case(Start { born_ms: 8_749, number: 3, answer: SearchAnswer::Unsure })]
+#[case(Start { born_ms: 8_750, number: 4, answer: SearchAnswer::Unsure })]
+fn an_agent_that_started_together_with_its_backend_server_knows_all_flows(#[case] start: Start) {
+    let mut holder = holder(0, 9_000, at(0));
+    holder.on_heartbeat(heartbeat(0, start.number, start.born_ms), at(100));
+    let answer = ask(&mut holder, 1, 900, at(101));
+    assert_eq!(answer, start.answer, "{start:?}");
+}
+
 #[test]
 fn a_wall_clock_that_was_set_back_does_not_make_an_agent_sure() {
     // The clock says that the agent started first, and the number says that it did not.
