fix(core): a backend server that started after its wall clock was set back is heard

Heartbeats are ordered by the wall clock's start of their sender. After a step back of the clock a backend server that starts again has an earlier start than the one before it, and its heartbeats were ignored as late for the rest of its life.

An earlier start counts once the later one has not been heard for three heartbeats. Test, which failed first: a_backend_server_that_started_after_its_clock_was_set_back_is_heard_once_ the_other_is_silent.

--- a/arbutus-core/src/packet/backend_watch.rs
+++ b/arbutus-core/src/packet/backend_watch.rs
@@ -85,7 +85,7 @@
         if heartbeat.service != self.service || heartbeat.address != self.address {
             return HeartbeatOutcome::NotOurs;
         }
-        if self.is_late(&heartbeat) {
+        if self.is_late(&heartbeat, now) {
             return HeartbeatOutcome::Late;
         }
         let before = self.state(now);
@@ -110,14 +110,16 @@
         }
     }
 
-    fn is_late(&self, heartbeat: &Heartbeat) -> bool {
+    fn is_late(&self, heartbeat: &Heartbeat, now: Timestamp) -> bool {
         let Some(last) = &self.last else {
             return false;
         };
         if same_start(last, heartbeat) {
             return self.left || heartbeat.sequence <= last.sequence;
         }
-        heartbeat.born_ms < last.born_ms
+        // Once the other is silent, the wall clock may have been set back between the two starts.
+        let is_heard = now.since(self.heard_at) <= self.fresh_for;
+        heartbeat.born_ms < last.born_ms && is_heard
     }
 
     /// When the backend server before the present one was last heard; tells it once.
--- a/arbutus-core/tests/packet/backend_watch.rs
+++ b/arbutus-core/tests/packet/backend_watch.rs
@@ -46,6 +46,21 @@
     );
 }
 
+#[test]
+fn a_backend_server_that_started_after_its_clock_was_set_back_is_heard_once_the_other_is_silent() {
+    let mut watch = watch();
+    watch.on_heartbeat(heartbeat(0, 5, 3_000), at(0));
+    let after_step = |sequence| Heartbeat {
+        id: Arc::from("i-2"),
+        ..heartbeat(0, sequence, 1_000)
+    };
+    let early = watch.on_heartbeat(after_step(1), at(3_000));
+    assert_eq!(early, HeartbeatOutcome::Late);
+    let later = watch.on_heartbeat(after_step(2), at(3_001));
+    assert_eq!(later, HeartbeatOutcome::Changed);
+    assert_eq!(watch.state(at(3_001)), BackendState::Ready);
+}
+
 #[test]
 fn heartbeats_of_others_change_nothing() {
     let mut watch = watch();
