--- a/arbutus-io/src/packet/agent/lines.rs
+++ b/arbutus-io/src/packet/agent/lines.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use arbutus_core::{
     packet::{FlowHolder, HolderAction, HolderDrop, Refused, RelayHeader, Segment},
     time::Timestamp,
@@ -8,6 +10,9 @@
 
 /// The lines that tell of decisions on flows.
 impl<C: PacketCodec> PacketAgent<C> {
+    /// Time that a backend server takes for an answer, from which on the answer is logged.
+    const LATE_ANSWER: Duration = Duration::from_millis(200);
+
     pub(super) fn log(
         &self,
         state: &mut State,
@@ -56,6 +61,13 @@
                     "packet_dropped"
                 );
             }
+            HolderAction::ToCaller {
+                answered_after: Some(waited),
+                ..
+            } if *waited >= Self::LATE_ANSWER && state.flow_lines.take(now) => {
+                let waited_ms = waited.as_millis();
+                tracing::info!(flow = %segment.flow, waited_ms, "answer_late");
+            }
             HolderAction::Drop(_)
             | HolderAction::ToBackend {
                 admitted: false, ..
