perf(core): agents at the head of a flow's rendezvous order are asked first

A search asked every agent nearby, then all others: with 63 agents 16 and 47, with 215 more than the 128 that were asked at most, so that flows of large services were neither found reliably nor ever reset. New flows are placed among the eight agents at the head of the flow's rendezvous order, so that their agent is there too unless many agents came since.

The twelve agents at the head are asked first, those nearby before the others, then all other agents; up to 1,024 in all. Questions to the likely agents do not wait for those to all others.

Ruled out: homes that agents keep informed (a message a flow), not needed for this.

--- a/arbutus-core/src/packet/placement.rs
+++ b/arbutus-core/src/packet/placement.rs
@@ -1,6 +1,6 @@
-use std::{net::SocketAddrV4, time::Duration};
+use std::{collections::VecDeque, net::SocketAddrV4, time::Duration};
 
-use super::{RouteTarget, Steering, member::Member, member_table::MemberTable};
+use super::{PacketRoute, RouteTarget, Steering, member::Member, member_table::MemberTable};
 use crate::{route, time::Timestamp};
 
 /// How candidates for a flow are ranked.
@@ -16,10 +16,9 @@
 /// Agents that may hold an open flow.
 #[derive(Debug)]
 pub(super) struct Likely {
-    /// Agents of the route's services in the balancer's failure domain.
-    pub(super) near: Vec<SocketAddrV4>,
-    /// The others that answer.
-    pub(super) far: Vec<SocketAddrV4>,
+    /// Those that answer, in the order in which they are asked; none is empty. First come agents
+    /// among which the flow was placed, those in the balancer's failure domain before others.
+    pub(super) stages: VecDeque<Vec<SocketAddrV4>>,
     /// Agents that have left datagrams unanswered; they are asked, and not waited for.
     pub(super) silent: Vec<SocketAddrV4>,
     /// Whether every agent that may hold the flow is among those that answer.
@@ -41,8 +40,12 @@
     /// for a balancer that does not know the flow to find them.
     const CHOICES: usize = 8;
 
+    /// Agents at the head of the rendezvous order that are asked first for an open flow: some may
+    /// have come since it was placed.
+    pub(super) const LIKELY: usize = 12;
+
     /// Most agents that are asked for one flow.
-    const ASKED: usize = 128;
+    const ASKED: usize = 1_024;
 
     /// Slots of an agent that has not said how many it has.
     const ASSUMED_SLOTS: f64 = 1.0;
@@ -69,25 +72,28 @@
         scored
     }
 
-    /// The agents that may hold an open flow of `targets`.
+    /// The agents that may hold the open flow `flow` of a route.
     ///
-    /// A route's flows may be with agents of other services too, to which an earlier configuration
-    /// sent them.
-    pub(super) fn for_search(&self, targets: &[RouteTarget]) -> Likely {
+    /// Its agent is at the head of the rendezvous order, unless the route went to other services or
+    /// agents have come and gone since.
+    pub(super) fn for_search(&self, flow: u64, route: &PacketRoute) -> Likely {
         let holders = self.members.iter().filter(|it| it.may_hold());
         let is_silent = |it: &&Member| it.is_silent(Steering::SILENCE, self.now);
         let (silent, holders): (Vec<&Member>, Vec<&Member>) = holders.partition(is_silent);
-        let is_near = |it: &&Member| {
-            *it.failure_domain == *self.failure_domain
-                && targets.iter().any(|target| target.tag == it.service)
-        };
-        let (near, far): (Vec<&Member>, Vec<&Member>) = holders.into_iter().partition(is_near);
-        let room = Self::ASKED - near.len().min(Self::ASKED);
+        let target = route.target(flow);
+        let serves = |it: &&Member| target.is_some_and(|target| target.tag == it.service);
+        let (mut ranked, mut others): (Vec<&Member>, Vec<&Member>) =
+            holders.into_iter().partition(serves);
+        by_rank(&mut ranked, flow);
+        others.extend(ranked.split_off(ranked.len().min(Self::LIKELY)));
+        let count = ranked.len() + others.len();
+        let is_near = |it: &&Member| *it.failure_domain == *self.failure_domain;
+        let (near, far): (Vec<&Member>, Vec<&Member>) = ranked.into_iter().partition(is_near);
+        let stages = [near, far, others].into_iter().filter(|it| !it.is_empty());
         Likely {
-            all: silent.is_empty() && near.len() + far.len() <= Self::ASKED,
-            silent: addresses(&silent, Self::ASKED),
-            near: addresses(&near, Self::ASKED),
-            far: addresses(&far, room),
+            all: silent.is_empty() && count <= Self::ASKED,
+            silent: addresses(&silent),
+            stages: stages.map(|it| addresses(&it)).collect(),
         }
     }
 
@@ -120,8 +126,9 @@
     }
 }
 
-fn addresses(members: &[&Member], most: usize) -> Vec<SocketAddrV4> {
-    members.iter().take(most).map(|it| it.agent).collect()
+fn addresses(members: &[&Member]) -> Vec<SocketAddrV4> {
+    let asked = members.iter().take(Placement::ASKED);
+    asked.map(|it| it.agent).collect()
 }
 
 fn by_rank(members: &mut [&Member], flow: u64) {
--- a/arbutus-core/src/packet/query_outbox.rs
+++ b/arbutus-core/src/packet/query_outbox.rs
@@ -21,6 +21,15 @@
     pub const MAX_QUESTIONS: usize = 60;
 }
 
+/// Which questions wait for each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum QueryLane {
+    /// To the few agents that are likely to hold a flow.
+    Likely,
+    /// To all the others, which takes long in a large system.
+    Others,
+}
+
 /// Questions that wait to be sent, and those whose answers may still come.
 ///
 /// After a loss of many processes at once a balancer has to ask for every flow of its callers. One
@@ -28,13 +37,20 @@
 /// gathered while the last round is being paid for. A question after a quiet time leaves at once.
 #[derive(Debug, Default)]
 pub(super) struct QueryOutbox {
-    /// An agent stands here only while it has a question.
-    waiting: IndexMap<SocketAddrV4, Vec<Question>>,
+    likely: Waiting,
+    others: Waiting,
     /// The flows of each batch that was sent, in the order of its questions.
     sent: IndexMap<u32, SentBatch>,
+    last_number: u32,
+}
+
+/// The questions of one lane.
+#[derive(Debug, Default)]
+struct Waiting {
+    /// An agent stands here only while it has a question.
+    questions: IndexMap<SocketAddrV4, Vec<Question>>,
     /// When the next round may leave.
     due: Timestamp,
-    last_number: u32,
 }
 
 #[derive(Debug)]
@@ -44,10 +60,51 @@
     at: Timestamp,
 }
 
-impl QueryOutbox {
+impl Waiting {
     /// Pause after a round for each datagram of it: a small VM spends some 3% of a core on it.
     const PACE: Duration = Duration::from_millis(1);
 
+    fn add(&mut self, agents: &[SocketAddrV4], question: Question, now: Timestamp) -> Timestamp {
+        for agent in agents {
+            let questions = self.questions.entry(*agent).or_default();
+            // What a later packet of the caller acknowledges tells more.
+            questions.retain(|it| it.flow != question.flow);
+            questions.push(question);
+        }
+        self.due.max(now)
+    }
+
+    fn due(&self) -> Option<Timestamp> {
+        (!self.questions.is_empty()).then_some(self.due)
+    }
+
+    /// What leaves now: at most so many questions for each agent as a datagram takes.
+    fn take_due(
+        &mut self,
+        wanted: impl Fn(&FlowId) -> bool,
+        now: Timestamp,
+    ) -> Vec<(SocketAddrV4, Vec<Question>)> {
+        if self.due > now {
+            return Vec::new();
+        }
+        let mut round = Vec::new();
+        for (agent, mut questions) in std::mem::take(&mut self.questions) {
+            questions.retain(|it| wanted(&it.flow));
+            if questions.len() > QueryBatch::MAX_QUESTIONS {
+                let rest = questions.split_off(QueryBatch::MAX_QUESTIONS);
+                self.questions.insert(agent, rest);
+            }
+            if !questions.is_empty() {
+                round.push((agent, questions));
+            }
+        }
+        let count = u32::try_from(round.len()).unwrap_or(u32::MAX);
+        self.due = now + Self::PACE * count;
+        round
+    }
+}
+
+impl QueryOutbox {
     /// How long an answer is waited for.
     const ANSWER: Duration = Duration::from_secs(2);
 
@@ -56,20 +113,19 @@
         &mut self,
         agents: &[SocketAddrV4],
         question: Question,
+        lane: QueryLane,
         now: Timestamp,
     ) -> Timestamp {
-        for agent in agents {
-            let questions = self.waiting.entry(*agent).or_default();
-            // What a later packet of the caller acknowledges tells more.
-            questions.retain(|it| it.flow != question.flow);
-            questions.push(question);
+        match lane {
+            QueryLane::Likely => self.likely.add(agents, question, now),
+            QueryLane::Others => self.others.add(agents, question, now),
         }
-        self.due.max(now)
     }
 
     /// When the next round leaves, if a question waits.
     pub(super) fn due(&self) -> Option<Timestamp> {
-        (!self.waiting.is_empty()).then_some(self.due)
+        let due = [self.likely.due(), self.others.due()];
+        due.into_iter().flatten().min()
     }
 
     /// The batches that leave now, without flows that are no longer `wanted`.
@@ -78,33 +134,20 @@
         wanted: impl Fn(&FlowId) -> bool,
         now: Timestamp,
     ) -> Vec<QueryBatch> {
-        if self.due > now {
-            return Vec::new();
-        }
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|_, questions| {
-            questions.retain(|it| wanted(&it.flow));
-            !questions.is_empty()
-        });
-        let batches: Vec<_> = waiting
+        let mut round = self.likely.take_due(&wanted, now);
+        round.extend(self.others.take_due(&wanted, now));
+        round
             .into_iter()
             .map(|(agent, questions)| self.batch(agent, questions, now))
-            .collect();
-        let count = u32::try_from(batches.len()).unwrap_or(u32::MAX);
-        self.due = now + Self::PACE * count;
-        batches
+            .collect()
     }
 
     fn batch(
         &mut self,
         agent: SocketAddrV4,
-        mut questions: Vec<Question>,
+        questions: Vec<Question>,
         now: Timestamp,
     ) -> QueryBatch {
-        if questions.len() > QueryBatch::MAX_QUESTIONS {
-            let rest = questions.split_off(QueryBatch::MAX_QUESTIONS);
-            self.waiting.insert(agent, rest);
-        }
         self.last_number = self.last_number.wrapping_add(1);
         let number = self.last_number;
         let flows = questions.iter().map(|it| it.flow).collect();
--- a/arbutus-core/src/packet/search.rs
+++ b/arbutus-core/src/packet/search.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddrV4, time::Duration};
+use std::{collections::VecDeque, net::SocketAddrV4, time::Duration};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -28,8 +28,8 @@
     held: HeldPackets,
     /// Every agent that was asked.
     asked: IndexMap<SocketAddrV4, Asked>,
-    /// Agents to ask if the first ones do not hold the flow.
-    further: Vec<SocketAddrV4>,
+    /// Agents to ask, one group after the other, if those before do not hold the flow.
+    further: VecDeque<Vec<SocketAddrV4>>,
     /// Whether agents that cannot tell may be given a packet.
     all: bool,
     /// Whether nobody but these agents can hold the flow.
@@ -91,10 +91,10 @@
     /// How often what was sent is repeated.
     const REPETITIONS: u32 = 2;
 
-    /// How long answers of agents nearby are waited for before others are asked too.
-    const NEAR_TIMEOUT: Duration = Duration::from_millis(60);
+    /// How long answers are waited for before the next agents are asked too.
+    const STAGE_TIMEOUT: Duration = Duration::from_millis(60);
 
-    /// How long answers are waited for: less than a caller waits before it sends again.
+    /// How long answers of the last ones are waited for: less than a caller waits before it sends again.
     const TIMEOUT: Duration = Duration::from_millis(180);
 
     /// How long a search waits for a balancer to learn of every agent.
@@ -103,7 +103,7 @@
     pub(super) fn new(
         segment: &Segment,
         first: &[SocketAddrV4],
-        further: Vec<SocketAddrV4>,
+        further: VecDeque<Vec<SocketAddrV4>>,
         now: Timestamp,
     ) -> Self {
         Self {
@@ -194,12 +194,13 @@
         if self.asked.values().any(|it| it.answer.is_none()) {
             return SearchState::Waiting;
         }
-        if !self.further.is_empty() {
-            let further = std::mem::take(&mut self.further);
-            self.note_asked(&further);
-            return SearchState::Ask(further);
+        match self.further.pop_front() {
+            Some(next) => {
+                self.note_asked(&next);
+                SearchState::Ask(next)
+            }
+            None => SearchState::Nobody,
         }
-        SearchState::Nobody
     }
 
     fn note_asked(&mut self, agents: &[SocketAddrV4]) {
@@ -229,20 +230,19 @@
         let timeout = if self.further.is_empty() {
             Self::TIMEOUT
         } else {
-            Self::NEAR_TIMEOUT
+            Self::STAGE_TIMEOUT
         };
         !self.parked && now.since(self.asked_at) >= timeout
     }
 
     /// Decides what becomes of the search when answers are late.
     pub(super) fn on_late(&mut self, now: Timestamp) -> LateSearch {
-        if self.repeated >= Self::REPETITIONS {
-            return LateSearch::GiveUp;
+        match self.further.pop_front() {
+            Some(next) => self.note_asked(&next),
+            None if self.repeated >= Self::REPETITIONS => return LateSearch::GiveUp,
+            None => self.repeated += 1,
         }
-        self.repeated += 1;
         self.asked_at = now;
-        let further = std::mem::take(&mut self.further);
-        self.note_asked(&further);
         let (retry, ask) = self
             .missing()
             .into_iter()
--- a/arbutus-core/src/packet/steering/searching.rs
+++ b/arbutus-core/src/packet/steering/searching.rs
@@ -5,6 +5,8 @@
     packet::{
         FlowId, PacketRoute, QueryBatch, Question, RelayHeader, SearchAnswer, SearchStep, Segment,
         Steer, SteerDrop,
+        placement::Placement,
+        query_outbox::QueryLane,
         search::{LateSearch, Search, SearchState},
     },
     time::Timestamp,
@@ -42,18 +44,11 @@
         route: &PacketRoute,
         now: Timestamp,
     ) -> Option<(Search, Vec<SocketAddrV4>)> {
-        let likely = self.placement(now).for_search(&route.targets);
+        let mut likely = self.placement(now).for_search(segment.flow.hash(), route);
         let everyone = likely.all && self.view.is_complete(now);
         let all = likely.all && self.view.may_try(now);
-        let (first, further) = if likely.near.is_empty() {
-            (likely.far, Vec::new())
-        } else {
-            (likely.near, likely.far)
-        };
-        if first.is_empty() {
-            return None;
-        }
-        let search = Search::new(segment, &first, further, now).covers(all, everyone);
+        let first = likely.stages.pop_front()?;
+        let search = Search::new(segment, &first, likely.stages, now).covers(all, everyone);
         let asked = first.into_iter().chain(likely.silent).collect();
         Some((search, asked))
     }
@@ -64,7 +59,12 @@
             flow: segment.flow,
             acknowledged: segment.acknowledged,
         };
-        let leaves = self.queries.add(agents, question, now);
+        let lane = if agents.len() <= Placement::LIKELY {
+            QueryLane::Likely
+        } else {
+            QueryLane::Others
+        };
+        let leaves = self.queries.add(agents, question, lane, now);
         self.note_asked(agents, leaves);
         if let Some(search) = self.searches.get_mut(&segment.flow) {
             search.asked_at(leaves);
--- a/arbutus-core/tests/packet/steering_cases.rs
+++ b/arbutus-core/tests/packet/steering_cases.rs
@@ -1,7 +1,7 @@
 use arbutus_core::{
     config::ConfigVersion,
     packet::{
-        AgentStatus, MemberChange, RelayHeader, SearchAnswer, SearchStep, Steer, SteerDrop,
+        AgentStatus, FlowId, MemberChange, RelayHeader, SearchAnswer, SearchStep, Steer, SteerDrop,
         Steering,
     },
 };
@@ -138,6 +138,20 @@
     }
 }
 
+/// The steps with their agents in the order of their addresses: they come in that of the flow's rank.
+fn sorted(mut steps: Vec<(FlowId, SearchStep)>) -> Vec<(FlowId, SearchStep)> {
+    for (_, step) in &mut steps {
+        match step {
+            SearchStep::Ask(agents)
+            | SearchStep::GiveUp {
+                missing: agents, ..
+            } => agents.sort(),
+            SearchStep::Wait | SearchStep::Relay { .. } | SearchStep::Reset { .. } => {}
+        }
+    }
+    steps
+}
+
 /// Answers of all agents but `last` that deny the flow; gives what the last one's does.
 fn all_deny(steering: &mut Steering, agents: usize, ms: u64) -> SearchStep {
     let mut step = SearchStep::Wait;
@@ -234,8 +248,9 @@
     steering.on_packet(&request(1, 900), PACKET, at(400));
     assert_eq!(all_deny(&mut steering, 3, 401), SearchStep::Wait);
     assert_eq!(steering.expire_searches(at(640)), []);
-    let again = SearchStep::Ask(vec![agent(0), agent(1), agent(2)]);
-    assert_eq!(steering.expire_searches(at(701)), [(flow(1), again)]);
+    let again = sorted(steering.expire_searches(at(701)));
+    let everyone = SearchStep::Ask(vec![agent(0), agent(1), agent(2)]);
+    assert_eq!(again, [(flow(1), everyone)]);
     let step = all_deny(&mut steering, 3, 702);
     assert!(matches!(step, SearchStep::Reset { .. }), "{step:?}");
 }
@@ -314,6 +329,64 @@
     assert!(first.iter().all(|it| it.number != batch.number));
 }
 
+#[test]
+fn the_agents_among_which_a_flow_was_placed_are_asked_first() {
+    let mut steering = knowing(40);
+    let opened = steering.on_packet(&opening(1, 0), PACKET, at(1));
+    let Steer::Relay { header, .. } = &opened else {
+        panic!("not relayed: {opened:?}");
+    };
+    let candidates = header.candidates().to_vec();
+    let mut other = knowing(40);
+    let asked = other.on_packet(&request(1, 900), PACKET, at(1));
+    let Steer::Ask(asked) = &asked else {
+        panic!("not asked: {asked:?}");
+    };
+    assert!(asked.len() < 20, "{} at once", asked.len());
+    assert!(candidates.iter().all(|it| asked.contains(it)));
+    let mut step = SearchStep::Wait;
+    for agent in asked {
+        step = other.on_answer(*agent, flow(1), SearchAnswer::Denies, at(2));
+    }
+    assert!(
+        matches!(&step, SearchStep::Ask(others) if others.len() + asked.len() == 40),
+        "{step:?}"
+    );
+}
+
+#[test]
+fn a_flow_of_a_large_service_is_reset_once_every_agent_has_denied_it() {
+    const AGENTS: usize = 240;
+    let mut steering = knowing(AGENTS);
+    steering.on_peer(&[], true, at(1));
+    steering.on_packet(&request(1, 900), PACKET, at(2));
+    let steps: Vec<_> = (0..2)
+        .flat_map(|_| 0..AGENTS)
+        .map(|it| steering.on_answer(agent(it), flow(1), SearchAnswer::Denies, at(3)))
+        .collect();
+    let resets = steps
+        .iter()
+        .filter(|it| matches!(it, SearchStep::Reset { denied: AGENTS, .. }));
+    assert_eq!(resets.count(), 1);
+}
+
+#[test]
+fn questions_to_the_likely_agents_do_not_wait_for_those_to_all_others() {
+    let mut steering = knowing(200);
+    let asked = steering.on_packet(&request(1, 900), PACKET, at(400));
+    steering.take_queries(at(400));
+    let Steer::Ask(asked) = asked else {
+        panic!("not asked: {asked:?}");
+    };
+    for agent in &asked {
+        steering.on_answer(*agent, flow(1), SearchAnswer::Denies, at(401));
+    }
+    assert_eq!(steering.take_queries(at(401)).len(), 200 - asked.len());
+    steering.on_packet(&request(2, 900), PACKET, at(420));
+    assert!(steering.queries_due().is_some_and(|it| it <= at(420)));
+    assert_eq!(steering.take_queries(at(420)).len(), asked.len());
+}
+
 #[test]
 fn a_flow_that_is_found_is_asked_for_no_longer() {
     let mut steering = knowing(3);
@@ -468,11 +541,11 @@
     steering.on_packet(&request(1, 900), PACKET, at(0));
     assert_eq!(steering.expire_searches(at(179)), []);
     for ms in [180, 360] {
-        let repeated = steering.expire_searches(at(ms));
+        let repeated = sorted(steering.expire_searches(at(ms)));
         let expected = SearchStep::Ask(vec![agent(0), agent(1), agent(2)]);
         assert_eq!(repeated, [(flow(1), expected)]);
     }
-    let ended = steering.expire_searches(at(540));
+    let ended = sorted(steering.expire_searches(at(540)));
     let expected = SearchStep::GiveUp {
         asked: 3,
         missing: vec![agent(0), agent(1), agent(2)],
