fix(io): a stop or reload that comes right after the start is not lost

Programs take them over first, and what waits for them starts then.

Ruled out: the first milliseconds of a program, before it can take anything over, remain; the soak sends such signals only to processes that have said that they are ready.

--- a/arbutus-io/src/agent/daemon.rs
+++ b/arbutus-io/src/agent/daemon.rs
@@ -22,6 +22,7 @@
 ///
 /// Fails where an address cannot be bound or a certificate cannot be used.
 pub async fn run(settings: AgentSettings) -> Result<(), Report<AgentError>> {
+    let requested = shutdown::requested();
     let metrics = Arc::new(AgentMetrics::default());
     let mut registry = Registry::default();
     metrics.register(&mut registry);
@@ -54,7 +55,7 @@
 
     let name = settings.name.clone();
     let task = ControlTask::new(settings, node, control, metrics);
-    task.run(events, shutdown::requested()).await?;
+    task.run(events, requested).await?;
     tracing::info!(%name, "agent_stopped");
     Ok(())
 }
--- a/arbutus-io/src/balancer/daemon.rs
+++ b/arbutus-io/src/balancer/daemon.rs
@@ -33,6 +33,7 @@
 ///
 /// Fails where an address cannot be bound or a certificate cannot be used.
 pub async fn run(settings: BalancerSettings) -> Result<(), Report<BalancerError>> {
+    let requested = shutdown::requested();
     let metrics = Arc::new(BalancerMetrics::default());
     let mut registry = Registry::default();
     metrics.register(&mut registry);
@@ -79,7 +80,7 @@
         "balancer_started"
     );
 
-    shutdown::requested().await;
+    requested.await;
     tracing::info!(name = %settings.name, "balancer_stopping");
     stop.notify_one();
     wait_until_quiet(&metrics).await;
