perf(core): a new flow chooses among eight agents nearby and six elsewhere

Eight of the failure domain and six of the others, each at the head of the order; searches ask the twelve of each first.

Test: a_new_flow_has_eight_agents_nearby_and_six_elsewhere_to_choose_from.

--- a/arbutus-core/src/packet/placement.rs
+++ b/arbutus-core/src/packet/placement.rs
@@ -36,12 +36,15 @@
 }
 
 impl Placement<'_> {
-    /// Agents among which a new flow is placed; the others are too far down the rendezvous order
-    /// for a balancer that does not know the flow to find them.
-    const CHOICES: usize = 8;
+    /// Agents of the balancer's failure domain among which a new flow is placed; those further down
+    /// the rendezvous order are not found soon by a balancer that does not know the flow.
+    const NEAR_CHOICES: usize = 8;
 
-    /// Agents at the head of the rendezvous order that are asked first for an open flow: some may
-    /// have come since it was placed.
+    /// The same of other failure domains.
+    const FAR_CHOICES: usize = 6;
+
+    /// Agents at the head of the rendezvous order, of one failure domain or of the others, that are
+    /// asked first for an open flow: some may have come since it was placed.
     pub(super) const LIKELY: usize = 12;
 
     /// Most agents that are asked for one flow.
@@ -65,8 +68,12 @@
             open = of_service.filter(|it| it.takes_flows()).collect();
         }
         by_rank(&mut open, flow);
-        open.truncate(Self::CHOICES);
-        let mut scored: Vec<Scored> = open.iter().map(|it| self.score(it)).collect();
+        let (mut choices, mut far): (Vec<&Member>, Vec<&Member>) =
+            open.into_iter().partition(|it| self.is_near(it));
+        choices.truncate(Self::NEAR_CHOICES);
+        far.truncate(Self::FAR_CHOICES);
+        choices.append(&mut far);
+        let mut scored: Vec<Scored> = choices.iter().map(|it| self.score(it)).collect();
         // The sort is stable: agents of equal load stay in rendezvous order.
         scored.sort_by(|a, b| a.score.total_cmp(&b.score));
         scored
@@ -82,13 +89,15 @@
         let (silent, holders): (Vec<&Member>, Vec<&Member>) = holders.partition(is_silent);
         let target = route.target(flow);
         let serves = |it: &&Member| target.is_some_and(|target| target.tag == it.service);
+        let count = holders.len();
         let (mut ranked, mut others): (Vec<&Member>, Vec<&Member>) =
             holders.into_iter().partition(serves);
         by_rank(&mut ranked, flow);
-        others.extend(ranked.split_off(ranked.len().min(Self::LIKELY)));
-        let count = ranked.len() + others.len();
-        let is_near = |it: &&Member| *it.failure_domain == *self.failure_domain;
-        let (near, far): (Vec<&Member>, Vec<&Member>) = ranked.into_iter().partition(is_near);
+        let (mut near, mut far): (Vec<&Member>, Vec<&Member>) =
+            ranked.into_iter().partition(|it| self.is_near(it));
+        for likely in [&mut near, &mut far] {
+            others.extend(likely.split_off(likely.len().min(Self::LIKELY)));
+        }
         let stages = [near, far, others].into_iter().filter(|it| !it.is_empty());
         Likely {
             all: silent.is_empty() && count <= Self::ASKED,
@@ -97,6 +106,10 @@
         }
     }
 
+    fn is_near(&self, member: &Member) -> bool {
+        *member.failure_domain == *self.failure_domain
+    }
+
     fn is_open(&self, member: &Member) -> bool {
         member.takes_flows() && !member.is_silent(Steering::SILENCE, self.now)
     }
@@ -108,7 +121,7 @@
         };
         let flows = f64::from(flows.saturating_add(member.placed));
         let load = (flows + Self::WAITING_COST * f64::from(waiting)) / slots;
-        let far = *member.failure_domain != *self.failure_domain;
+        let far = !self.is_near(member);
         Scored {
             agent: member.agent,
             score: load + if far { self.far_cost } else { 0.0 },
--- a/arbutus-core/tests/packet/steering_cases.rs
+++ b/arbutus-core/tests/packet/steering_cases.rs
@@ -329,6 +329,25 @@
     assert!(first.iter().all(|it| it.number != batch.number));
 }
 
+#[test]
+fn a_new_flow_has_eight_agents_nearby_and_six_elsewhere_to_choose_from() {
+    let mut steering = knowing(20);
+    for index in 20..80 {
+        let mut far = listing(index, SERVICE, 1);
+        far.failure_domain = std::sync::Arc::from("b");
+        steering.on_listed(&far, at(0));
+    }
+    for number in 1..=20 {
+        let steer = steering.on_packet(&opening(number, 0), PACKET, at(1));
+        let Steer::Relay { header, .. } = &steer else {
+            panic!("not relayed: {steer:?}");
+        };
+        let near = |it: &&std::net::SocketAddrV4| (0..20).any(|index| agent(index) == **it);
+        assert_eq!(header.candidates().iter().filter(near).count(), 8);
+        assert_eq!(header.candidates().len(), 14);
+    }
+}
+
 #[test]
 fn the_agents_among_which_a_flow_was_placed_are_asked_first() {
     let mut steering = knowing(40);
