--- a/arbutus-core/src/packet/query_outbox.rs
+++ b/arbutus-core/src/packet/query_outbox.rs
@@ -2,25 +2,9 @@
 
 use indexmap::IndexMap;
 
-use super::{FlowId, Question};
+use super::{FlowId, QueryBatch, Question, waiting_questions::WaitingQuestions};
 use crate::time::Timestamp;
 
-/// Questions of one balancer that leave for one agent in one datagram.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct QueryBatch {
-    /// Who is asked.
-    pub agent: SocketAddrV4,
-    /// Names the batch in the answer; unique among the balancer's batches of the last seconds.
-    pub number: u32,
-    /// At most [`QueryBatch::MAX_QUESTIONS`].
-    pub questions: Vec<Question>,
-}
-
-impl QueryBatch {
-    /// Most questions in one datagram: they take some 1,200 bytes.
-    pub const MAX_QUESTIONS: usize = 60;
-}
-
 /// Which questions wait for each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum QueryLane {
@@ -37,22 +21,13 @@
 /// gathered while the last round is being paid for. A question after a quiet time leaves at once.
 #[derive(Debug, Default)]
 pub(super) struct QueryOutbox {
-    likely: Waiting,
-    others: Waiting,
+    likely: WaitingQuestions,
+    others: WaitingQuestions,
     /// The flows of each batch that was sent, in the order of its questions.
     sent: IndexMap<u32, SentBatch>,
     last_number: u32,
 }
 
-/// The questions of one lane.
-#[derive(Debug, Default)]
-struct Waiting {
-    /// An agent stands here only while it has a question.
-    questions: IndexMap<SocketAddrV4, Vec<Question>>,
-    /// When the next round may leave.
-    due: Timestamp,
-}
-
 #[derive(Debug)]
 struct SentBatch {
     agent: SocketAddrV4,
@@ -60,50 +35,6 @@
     at: Timestamp,
 }
 
-impl Waiting {
-    /// Pause after a round for each datagram of it: a small VM spends some 3% of a core on it.
-    const PACE: Duration = Duration::from_millis(1);
-
-    fn add(&mut self, agents: &[SocketAddrV4], question: Question, now: Timestamp) -> Timestamp {
-        for agent in agents {
-            let questions = self.questions.entry(*agent).or_default();
-            // What a later packet of the caller acknowledges tells more.
-            questions.retain(|it| it.flow != question.flow);
-            questions.push(question);
-        }
-        self.due.max(now)
-    }
-
-    fn due(&self) -> Option<Timestamp> {
-        (!self.questions.is_empty()).then_some(self.due)
-    }
-
-    /// What leaves now: at most so many questions for each agent as a datagram takes.
-    fn take_due(
-        &mut self,
-        wanted: impl Fn(&FlowId) -> bool,
-        now: Timestamp,
-    ) -> Vec<(SocketAddrV4, Vec<Question>)> {
-        if self.due > now {
-            return Vec::new();
-        }
-        let mut round = Vec::new();
-        for (agent, mut questions) in std::mem::take(&mut self.questions) {
-            questions.retain(|it| wanted(&it.flow));
-            if questions.len() > QueryBatch::MAX_QUESTIONS {
-                let rest = questions.split_off(QueryBatch::MAX_QUESTIONS);
-                self.questions.insert(agent, rest);
-            }
-            if !questions.is_empty() {
-                round.push((agent, questions));
-            }
-        }
-        let count = u32::try_from(round.len()).unwrap_or(u32::MAX);
-        self.due = now + Self::PACE * count;
-        round
-    }
-}
-
 impl QueryOutbox {
     /// How long an answer is waited for.
     const ANSWER: Duration = Duration::from_secs(2);
--- a/arbutus-core/src/packet/search.rs
+++ b/arbutus-core/src/packet/search.rs
@@ -3,7 +3,11 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::Segment;
+use super::{
+    Segment,
+    held_packets::HeldPackets,
+    search_state::{LateSearch, SearchState},
+};
 use crate::time::Timestamp;
 
 /// What an agent says when it is asked for a flow.
@@ -48,45 +52,6 @@
     tried: bool,
 }
 
-/// Packets that wait for a search.
-#[derive(Debug, Default)]
-struct HeldPackets {
-    /// In the order of their arrival; at most [`HeldPackets::MAX`].
-    packets: Vec<Vec<u8>>,
-    /// The one that tells whether a backend server holds the flow: the smallest that has to be
-    /// answered, as an index into `packets`.
-    telling: Option<usize>,
-}
-
-/// Where a search stands after an answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum SearchState {
-    /// Answers are missing.
-    Waiting,
-    /// These are to be asked too.
-    Ask(Vec<SocketAddrV4>),
-    /// This agent holds the flow.
-    Found(SocketAddrV4),
-    /// These cannot tell; their backend servers are to be given a packet.
-    Try(Vec<SocketAddrV4>),
-    /// Nobody holds the flow.
-    Nobody,
-}
-
-/// What becomes of a search whose answers are late.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum LateSearch {
-    /// What was sent may be lost.
-    Again {
-        /// These are asked, for the first time or again.
-        ask: Vec<SocketAddrV4>,
-        /// These get the packet again.
-        retry: Vec<SocketAddrV4>,
-    },
-    /// It ends.
-    GiveUp,
-}
-
 impl Search {
     /// How often what was sent is repeated.
     const REPETITIONS: u32 = 2;
@@ -272,30 +237,3 @@
         self.asked.len() - self.missing().len()
     }
 }
-
-impl HeldPackets {
-    /// Packets that wait; a caller has few under way before it hears anything.
-    const MAX: usize = 4;
-
-    fn push(&mut self, segment: &Segment, packet: &[u8]) {
-        if self.packets.len() >= Self::MAX {
-            return;
-        }
-        let smaller = self.telling().is_none_or(|it| packet.len() < it.len());
-        if segment.expects_answer() && smaller {
-            self.telling = Some(self.packets.len());
-        }
-        self.packets.push(packet.to_vec());
-    }
-
-    fn telling(&self) -> Option<&Vec<u8>> {
-        self.packets.get(self.telling?)
-    }
-
-    fn all_but_telling_if(mut self, given: bool) -> Vec<Vec<u8>> {
-        if let Some(index) = self.telling.filter(|_| given) {
-            self.packets.remove(index);
-        }
-        self.packets
-    }
-}
--- a/arbutus-core/src/packet/steering/searching.rs
+++ b/arbutus-core/src/packet/steering/searching.rs
@@ -7,7 +7,8 @@
         Steer, SteerDrop,
         placement::Placement,
         query_outbox::QueryLane,
-        search::{LateSearch, Search, SearchState},
+        search::Search,
+        search_state::{LateSearch, SearchState},
     },
     time::Timestamp,
 };
--- a/arbutus-core/tests/packet/fixture.rs
+++ b/arbutus-core/tests/packet/fixture.rs
@@ -15,6 +15,9 @@
 pub const OTHER: &str = "tables";
 pub const HEARTBEAT: Duration = Duration::from_secs(1);
 
+/// A packet whose bytes do not matter.
+pub const PACKET: &[u8] = b"packet";
+
 /// The start of every case, in milliseconds.
 pub const START_MS: u64 = 10_000;
 
@@ -163,3 +166,22 @@
     RelayHeader::new(balancer(0), candidates.iter().map(|it| agent(*it)))
         .service(ServiceTag::of_name(SERVICE))
 }
+
+/// A balancer that knows `agents` ready agents and trusts its view from 3,500 ms on.
+pub fn knowing(agents: usize) -> Steering {
+    let mut steering = steering();
+    for index in 0..agents {
+        steering.on_listed(&listing(index, SERVICE, 1), at(0));
+        steering.on_report(report(index, 1, AgentStatus::Ready, 0), at(0));
+    }
+    steering.on_store(true, at(0));
+    steering
+}
+
+/// Hears every agent but `silent` at `ms`.
+pub fn hear(steering: &mut Steering, agents: usize, silent: Option<usize>, ms: u64) {
+    let sequence = u32::try_from(ms).expect("a small number");
+    for index in (0..agents).filter(|it| Some(*it) != silent) {
+        steering.on_report(report(index, sequence, AgentStatus::Ready, 0), at(ms));
+    }
+}
--- a/arbutus-core/tests/packet/main.rs
+++ b/arbutus-core/tests/packet/main.rs
@@ -10,5 +10,6 @@
 mod registration;
 mod relay_header;
 mod routes;
+mod search_cases;
 mod steering_cases;
 mod world;
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -1,12 +1,12 @@
 mod lines;
+mod searching;
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use arbutus_core::{
     packet::{
-        AgentListing, AgentReport, FlowId, MemberChange, Message, PacketConfig, PeerSnapshot,
-        RelayHeader, ResetCause, SearchAnswer, SearchStep, Steer, SteerDrop, Steering,
-        SteeringSettings,
+        AgentListing, AgentReport, MemberChange, Message, PacketConfig, PeerSnapshot, Steer,
+        SteerDrop, Steering, SteeringSettings,
     },
     time::Timestamp,
 };
@@ -114,14 +114,6 @@
         }
     }
 
-    /// Whether some flow is searched, and how long until the next round of questions leaves.
-    fn searching(&self) -> (bool, Duration) {
-        let state = self.state.lock();
-        let due = state.steering.queries_due();
-        let wait = due.map_or(Self::TICK, |it| it.since(clock::now()));
-        (state.steering.is_searching(), wait)
-    }
-
     /// After a pause, agents and configuration may have changed unheard.
     fn on_pause(&self, pause: Duration) {
         let now = clock::now();
@@ -168,84 +160,6 @@
         }
     }
 
-    /// Sends the questions that are due.
-    fn send_queries(&self, now: Timestamp) {
-        let batches = self.state.lock().steering.take_queries(now);
-        for batch in batches {
-            self.metrics.queries.inc();
-            let query = Message::Query {
-                balancer: self.settings.balancer,
-                number: batch.number,
-                questions: batch.questions,
-            };
-            self.send(&query.encode(&[]), batch.agent);
-        }
-    }
-
-    fn on_answers(
-        &self,
-        agent: SocketAddrV4,
-        number: u32,
-        answers: &[SearchAnswer],
-        now: Timestamp,
-    ) {
-        let mut state = self.state.lock();
-        let steps = state.steering.on_answers(agent, number, answers, now);
-        drop(state);
-        for (flow, step) in steps {
-            self.carry_out(flow, step, now);
-        }
-    }
-
-    fn on_denied(&self, agent: SocketAddrV4, flow: FlowId, now: Timestamp) {
-        let mut state = self.state.lock();
-        let denies = SearchAnswer::Denies;
-        let step = state.steering.on_answer(agent, flow, denies, now);
-        drop(state);
-        self.carry_out(flow, step, now);
-    }
-
-    fn carry_out(&self, flow: FlowId, step: SearchStep, now: Timestamp) {
-        match step {
-            SearchStep::Wait => {}
-            SearchStep::Ask(_) => self.send_queries(now),
-            SearchStep::Relay { headers, packets } => {
-                self.log_found(&flow, &headers, now);
-                for header in headers {
-                    self.relay(header, &packets);
-                }
-            }
-            SearchStep::Reset {
-                flow,
-                caller_has,
-                denied,
-            } => {
-                self.metrics.resets.inc();
-                let cause = ResetCause::NobodyHolds.name();
-                tracing::info!(%flow, cause, denied, "flow_reset");
-                let reset = self.codec.reset(&flow, caller_has);
-                self.send(&reset, self.codec.caller_address(&flow));
-            }
-            SearchStep::GiveUp { asked, missing } => {
-                self.count_drop("not-found");
-                if self.state.lock().searched_lines.take(now) {
-                    tracing::info!(%flow, asked, ?missing, "flow_not_found");
-                }
-            }
-        }
-    }
-
-    fn relay(&self, header: RelayHeader, packets: &[Vec<u8>]) {
-        let Some(agent) = header.target() else {
-            return;
-        };
-        let message = Message::Relay(header);
-        for packet in packets {
-            self.metrics.relayed.inc();
-            self.send(&message.encode(packet), agent);
-        }
-    }
-
     fn count_drop(&self, reason: &'static str) {
         let label = ReasonLabel { reason };
         self.metrics.dropped.get_or_create(&label).inc();
@@ -354,13 +268,6 @@
         }
     }
 
-    fn expire_searches(&self, now: Timestamp) {
-        let late = self.state.lock().steering.expire_searches(now);
-        for (flow, step) in late {
-            self.carry_out(flow, step, now);
-        }
-    }
-
     fn show(&self, steering: &Steering) {
         set(&self.metrics.agents, steering.member_count());
         set(&self.metrics.flows, steering.flow_count());
