test(core): a balancer that starts alone resets a flow of an agent nobody tells it of; known red

Cause, traced: every other balancer is dead for 3 s, the store does not list an agent that cannot reach it, and the agent makes itself known to the settings' three balancers and to those it had packets from, all dead. After View::ALONE the last balancer trusts the listing.

--- a/arbutus-core/tests/packet/random_runs.rs
+++ b/arbutus-core/tests/packet/random_runs.rs
@@ -233,3 +233,9 @@
     assert_eq!(waits.count(), 0);
     assert!(world.checked_resets >= 15);
 }
+
+/// Listed in KNOWN-RED.txt.
+#[test]
+fn a_balancer_that_starts_alone_does_not_reset_flows_of_an_agent_that_nobody_tells_it_of() {
+    play(16_454_069_191_781_801_473);
+}
