--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -324,7 +324,7 @@
 
 /// The address of the service that callers use.
 pub fn service() -> SocketAddrV4 {
-    SocketAddrV4::new(std::net::Ipv4Addr::new(198, 18, 0, 1), 443)
+    SocketAddrV4::new(std::net::Ipv4Addr::new(127, 18, 0, 1), 443)
 }
 
 fn reply(to: &Packet, flags: u8, seq: u32, ack: u32, data: Vec<u8>) -> Packet {
--- a/review/standin/caller.rs
+++ b/review/standin/caller.rs
@@ -1,4 +1,4 @@
-//! A stand-in for callers. The router hands all their packets to one balancer.
+//! A stand-in for callers and for the router, which hands all their packets to one balancer.
 
 use std::{
     collections::HashMap,
@@ -22,7 +22,7 @@
 struct Shared {
     socket: UdpSocket,
     ip: Ipv4Addr,
-    balancer: SocketAddrV4,
+    balancer: Mutex<SocketAddrV4>,
     record: Record,
     flows: Mutex<HashMap<u16, Flow>>,
 }
@@ -60,7 +60,7 @@
         let shared = Arc::new(Shared {
             socket,
             ip: *at.ip(),
-            balancer,
+            balancer: Mutex::new(balancer),
             record: record.clone(),
             flows: Mutex::default(),
         });
@@ -77,6 +77,14 @@
         Self { shared }
     }
 
+    /// Has the router hand all packets to another balancer from now on.
+    pub fn route_to(&self, balancer: SocketAddrV4) {
+        *self.shared.balancer.lock().unwrap() = balancer;
+        self.shared
+            .record
+            .line(&format!("the router sends all packets to {balancer}"));
+    }
+
     pub fn address(&self, port: u16) -> SocketAddrV4 {
         SocketAddrV4::new(self.shared.ip, port)
     }
@@ -289,7 +297,9 @@
     }
 
     fn send(&self, packet: &Packet) {
-        let _ = self.socket.send_to(&packet.encode(), self.balancer);
+        let _ = self
+            .socket
+            .send_to(&packet.encode(), *self.balancer.lock().unwrap());
     }
 }
 
--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -64,22 +64,30 @@
         self.at(3, 1, 0)
     }
 
-    pub fn balancer(&self) -> SocketAddrV4 {
-        self.at(1, 1, 0)
+    /// Returns the address to which routers send the packets for a balancer.
+    pub fn balancer(&self, index: u8) -> SocketAddrV4 {
+        self.at(1, index, 0)
     }
 
-    pub fn start_balancer(&mut self, zone: &str) {
-        let (at, control) = (|port| self.at(1, 1, port), self.at(1, 1, 3));
+    /// Returns the control addresses of the two balancers, as a list of texts.
+    fn seeds(&self) -> String {
+        format!("\"{}\", \"{}\"", self.at(1, 1, 3), self.at(1, 2, 3))
+    }
+
+    pub fn start_balancer(&mut self, index: u8, zone: &str) {
+        let at = |port| self.at(1, index, port);
         let settings = format!(
-            "{{\"name\": \"edge-{zone}-1\", \"failure_domain\": \"{zone}\", \"callers_listen\": \"{}\",\
-             \"readiness_listen\": \"{}\", \"control_listen\": \"{control}\", \"peer_ports\": [{}],\
-             \"seeds\": [\"{control}\"], \"store\": \"{}\", \"grace_ms\": 6000}}",
+            "{{\"name\": \"edge-{zone}-{index}\", \"failure_domain\": \"{zone}\", \"callers_listen\": \"{}\",\
+             \"readiness_listen\": \"{}\", \"control_listen\": \"{}\", \"peer_ports\": [{}],\
+             \"seeds\": [{}], \"store\": \"{}\", \"grace_ms\": 6000}}",
             at(0),
             at(2),
+            at(3),
             self.ports(),
+            self.seeds(),
             self.store()
         );
-        self.start("balancer", "balancer-1", &settings);
+        self.start("balancer", &format!("balancer-{index}"), &settings);
     }
 
     fn ports(&self) -> String {
@@ -91,7 +99,7 @@
         let settings = format!(
             "{{\"failure_domain\": \"{zone}\", \"service\": \"lookup\", \"backend_server\": \"{}\",\
              \"backend_listen\": \"{}\", \"readiness_listen\": \"{}\", \"control_listen\": \"{}\",\
-             \"callers_address\": \"{}\", \"peer_ports\": [{}], \"seeds\": [\"{}\"], \"store\": \"{}\",\
+             \"callers_address\": \"{}\", \"peer_ports\": [{}], \"seeds\": [{}], \"store\": \"{}\",\
              \"heartbeat_ms\": 1200}}",
             at(4),
             at(5),
@@ -99,7 +107,7 @@
             at(3),
             at(0),
             self.ports(),
-            self.at(1, 1, 3),
+            self.seeds(),
             self.store()
         );
         self.start("agent", &format!("agent-{index}"), &settings);
--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -14,7 +14,7 @@
     store::Store,
 };
 
-const CONFIG: &str = r#"{"version":4,"routes":[{"name":"r-1","host":"198.18.0.1","prefix":"/443/","service":"lookup","type":"idempotent","timeout_ms":2000,"target_latency_ms":250,"priority":2}],"services":[{"name":"lookup","health_path":"/healthz"}],"limits":{"idle_timeout_ms":15000}}"#;
+const CONFIG: &str = r#"{"version":4,"routes":[{"name":"r-1","host":"127.18.0.1","prefix":"/443/","service":"lookup","type":"idempotent","timeout_ms":2000,"target_latency_ms":250,"priority":2}],"services":[{"name":"lookup","health_path":"/healthz"}],"limits":{"idle_timeout_ms":15000}}"#;
 
 /// `stable_window_ms` of the small deployments.
 const STABLE_WINDOW: Duration = Duration::from_secs(4);
@@ -65,12 +65,12 @@
         let config = fleet.backend(index, &format!("i-{index}"), "a", unix_ms());
         backends.push(Backend::start(config, &record));
     }
-    fleet.start_balancer("a");
+    fleet.start_balancer(1, "a");
     if !fleet.wait_ready(1, 1) {
         return cannot_run(&record, "the balancer is not ready");
     }
     sleep_ms(1_500);
-    let callers = Callers::start(fleet.callers(), fleet.balancer(), &record);
+    let callers = Callers::start(fleet.callers(), fleet.balancer(1), &record);
     let mut traffic = Traffic::new(callers);
     let mut broken = 0;
     traffic.run(Duration::from_secs(2), &record, &backends, &mut broken);
@@ -194,7 +194,7 @@
     for index in 1..=3 {
         fleet.start_agent(index, "a");
     }
-    fleet.start_balancer("a");
+    fleet.start_balancer(1, "a");
     if !(1..=3).all(|it| fleet.wait_ready(2, it)) || !fleet.wait_ready(1, 1) {
         return cannot_run(&record, "a process is not ready");
     }
@@ -210,7 +210,7 @@
     let born = unix_ms() + if trouble { JUMP_MS } else { 0 };
     let backend = Backend::start(fleet.backend(1, "i-1", "a", born), &record);
     sleep_ms(150);
-    let callers = Callers::start(fleet.callers(), fleet.balancer(), &record);
+    let callers = Callers::start(fleet.callers(), fleet.balancer(1), &record);
     let ports: Vec<u16> = (2_001..=2_018).collect();
     for port in &ports {
         callers.open(*port);
@@ -258,3 +258,85 @@
     }
     verdict(&record, broken, own.len())
 }
+
+/// Three backend servers are added to ten within a second while one of two balancers is restarted, and
+/// the router then moves the callers to the restarted balancer.
+pub fn new_agent(path: &str, trouble: bool) -> i32 {
+    const OLD: u8 = 10;
+    const NEW: u8 = 3;
+    let record = Record::create(path);
+    let mut fleet = Fleet::new(&record);
+    let Ok(store) = Store::start(fleet.store(), record.clone()) else {
+        return cannot_run(&record, "no free port");
+    };
+    store.write("op/config", CONFIG);
+    for index in 1..=OLD + NEW {
+        fleet.start_agent(index, "a");
+    }
+    fleet.start_balancer(1, "a");
+    fleet.start_balancer(2, "a");
+    let ready = (1..=OLD + NEW).all(|it| fleet.wait_ready(2, it))
+        && (1..=2).all(|it| fleet.wait_ready(1, it));
+    if !ready {
+        return cannot_run(&record, "a process is not ready");
+    }
+    let start = |fleet: &Fleet, index: u8| {
+        let config = fleet.backend(index, &format!("i-{index}"), "a", unix_ms());
+        Backend::start(config, &record)
+    };
+    let mut backends: Vec<Backend> = (1..=OLD).map(|it| start(&fleet, it)).collect();
+    thread::sleep(STABLE_WINDOW);
+    if trouble {
+        fleet.stop("balancer-2");
+    }
+    let begin = Instant::now();
+    let at = |ms: u64| thread::sleep(Duration::from_millis(ms).saturating_sub(begin.elapsed()));
+    backends.push(start(&fleet, OLD + 1));
+    at(150);
+    if trouble {
+        fleet.start_balancer(2, "a");
+        if !fleet.wait_ready(1, 2) {
+            return cannot_run(&record, "the balancer is not ready again");
+        }
+    }
+    at(333);
+    backends.push(start(&fleet, OLD + 2));
+    at(667);
+    backends.push(start(&fleet, OLD + 3));
+    at(740);
+    let callers = Callers::start(fleet.callers(), fleet.balancer(1), &record);
+    let ports: Vec<u16> = (2_001..=2_060).collect();
+    for port in &ports {
+        callers.open(*port);
+        sleep_ms(2);
+    }
+    at(920);
+    callers.route_to(fleet.balancer(2));
+    for port in &ports {
+        callers.request(*port, &format!("{port}-1"));
+    }
+    sleep_ms(2_000);
+    let (mut broken, mut checked) = (0, 0);
+    for port in &ports {
+        let client = callers.address(*port);
+        let Some(owner) = backends.iter().find(|it| it.holds_open(client).is_some()) else {
+            continue;
+        };
+        checked += 1;
+        if let Some(reset) = callers.reset(*port) {
+            broken += 1;
+            let id = owner.id();
+            record.line(&format!(
+                "FLOW: caller {port} was reset at {:.4}, and backend {id} holds the flow",
+                reset.at
+            ));
+        }
+    }
+    if fleet.any_ended() {
+        return cannot_run(&record, "a process has ended by itself");
+    }
+    if checked == 0 {
+        return cannot_run(&record, "no flow was opened");
+    }
+    verdict(&record, broken, checked)
+}
