fix(core): the store is asked for its agents before a flow that everyone denies is reset

Hypotheses: the agent denied a flow that it held; the balancer did not ask all agents it knew; it did not know the agent. Ruled out: denial (the agent was never asked), a stage left out (denied is the number of agents known at the start). flow_reset now says searched_ms and view_age_ms.

Cause: the claim that no agent holds a flow rested on a view of unknown age. Now it rests on an answer of the store to a call made after the caller's packet, and on a denial of each agent that has entered the view since. It works whatever the delay of the watch is, because a flow was placed on an agent after others had read its listing. After an outage only an answer from after the recovery time counts.

Changed checks: cases that ended in a reset at the last denial now expect none there, and the same reset once the store has answered.

--- a/arbutus-core/src/packet/agent_view.rs
+++ b/arbutus-core/src/packet/agent_view.rs
@@ -13,6 +13,9 @@
     is_introduced: bool,
     /// Since when the store has answered every call.
     store_reachable_since: Option<Timestamp>,
+    /// When the last call to the store began whose result has been applied. The view contains every
+    /// agent that the store listed at that time.
+    store_known_at: Option<Timestamp>,
     /// Whether the store has been unreachable since the start.
     store_was_lost: bool,
     /// When the last snapshot of another balancer arrived.
@@ -43,6 +46,7 @@
             started_at: now,
             is_introduced,
             store_reachable_since: None,
+            store_known_at: None,
             store_was_lost: false,
             peer_at: None,
             peer_settled: false,
@@ -58,9 +62,16 @@
         }
     }
 
+    /// Records that the changes up to a call that began at `asked_at` have been applied.
+    pub(super) fn on_store_synced(&mut self, asked_at: Timestamp, now: Timestamp) {
+        self.on_store_status(true, now);
+        self.store_known_at = self.store_known_at.max(Some(asked_at));
+    }
+
     /// Records that the store has come back from an older copy, which may list other agents.
     pub(super) const fn on_store_restored(&mut self, now: Timestamp) {
         self.store_reachable_since = Some(now);
+        self.store_known_at = None;
         self.store_was_lost = true;
     }
 
@@ -71,13 +82,35 @@
 
     /// Returns whether the view is complete, so that an agent outside the view owns no flow.
     pub(super) fn is_complete(&self, now: Timestamp) -> bool {
+        self.lists_agents_from().is_some_and(|from| now >= from) && self.is_synced_with_peers(now)
+    }
+
+    /// Returns from when on the store lists every agent that can reach it, if the store is reachable.
+    pub(super) fn lists_agents_from(&self) -> Option<Timestamp> {
         let limit = match (self.store_was_lost, self.peer_settled) {
             (true, _) => Self::STORE_RECOVERY_TIME,
             (false, true) => Duration::ZERO,
             (false, false) => Self::STORE_SETTLE_TIME,
         };
-        let settled = |since: Timestamp| now.since(since) >= limit;
-        self.store_reachable_since.is_some_and(settled) && self.is_synced_with_peers(now)
+        self.store_reachable_since.map(|since| since + limit)
+    }
+
+    /// Returns whether the view contains every agent that the store listed at `at`, when it listed
+    /// every agent that could reach it.
+    ///
+    /// A balancer hears of a change some time before or after other balancers do. An agent on which
+    /// others have placed a flow is certainly in the view if the store was asked after that.
+    pub(super) fn has_listings_of(&self, at: Timestamp) -> bool {
+        let from = self.lists_agents_from().map(|from| from.max(at));
+        from.is_some_and(|from| self.store_known_at >= Some(from))
+    }
+
+    /// Returns the age of the view if it is complete for flows that were open at `at`.
+    pub(super) fn age_if_complete_for(&self, at: Timestamp, now: Timestamp) -> Option<Duration> {
+        let complete = self.has_listings_of(at) && self.is_synced_with_peers(now);
+        self.store_known_at
+            .filter(|_| complete)
+            .map(|known_at| now.since(known_at))
     }
 
     /// Returns whether agents with an incomplete flow table may get a flow's packets.
--- a/arbutus-core/src/packet/lookup.rs
+++ b/arbutus-core/src/packet/lookup.rs
@@ -40,7 +40,7 @@
     pub(super) exhaustive: bool,
     /// The number of retries.
     retries: u32,
-    /// Whether the lookup is suspended until the balancer's view is complete.
+    /// Whether the lookup is suspended until the balancer's view is complete and recent enough.
     suspended: bool,
 }
 
@@ -104,6 +104,11 @@
         self
     }
 
+    /// Returns when the first packet of the flow arrived. The flow was open by then.
+    pub(super) const fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+
     /// Records when the datagrams whose answers are outstanding are sent.
     pub(super) const fn set_queried_at(&mut self, at: Timestamp) {
         self.queried_at = at;
@@ -175,12 +180,23 @@
         }
     }
 
+    /// Returns whether an agent is part of this lookup.
+    pub(super) fn includes(&self, agent: SocketAddrV4) -> bool {
+        self.queried.contains_key(&agent)
+    }
+
+    /// Continues the lookup at agents that have entered the view since its start.
+    pub(super) fn extend(&mut self, agents: &[SocketAddrV4]) {
+        self.suspended = false;
+        self.add_queried(agents);
+    }
+
     fn add_queried(&mut self, agents: &[SocketAddrV4]) {
         let queried = agents.iter().map(|it| (*it, QueriedAgent::default()));
         self.queried.extend(queried);
     }
 
-    /// Suspends the lookup until the balancer's view is complete.
+    /// Suspends the lookup until the balancer's view is complete and recent enough.
     ///
     /// Returns `false` if the lookup has taken too long or the caller does not expect a response.
     pub(super) fn suspend(&mut self, now: Timestamp) -> bool {
@@ -188,7 +204,8 @@
         self.suspended
     }
 
-    /// Returns whether the lookup is suspended until the balancer's view is complete.
+    /// Returns whether the lookup is suspended until the balancer's view is complete and recent
+    /// enough.
     pub(super) const fn is_suspended(&self) -> bool {
         self.suspended
     }
--- a/arbutus-core/src/packet/lookup_step.rs
+++ b/arbutus-core/src/packet/lookup_step.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, time::Duration};
 
 use super::{FlowId, RelayHeader};
 
@@ -24,6 +24,10 @@
         acknowledged: u32,
         /// The number of agents that answered that they do not own the flow.
         denied: usize,
+        /// The time since the lookup began.
+        duration: Duration,
+        /// The age of the view that contains no other agent. It is at most `duration`.
+        view_age: Duration,
     },
     /// End the lookup: no known agent owns the flow, but an unknown one may.
     Abandon {
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -47,6 +47,8 @@
     lookups: IndexMap<FlowId, Lookup>,
     queries: QueryOutbox,
     view: AgentView,
+    /// When the store was last asked for the agents that it lists, for a lookup.
+    last_store_check_at: Timestamp,
     /// A configuration that another balancer has, always newer than `config`.
     missed_config: Option<MissedConfig>,
 }
@@ -84,6 +86,10 @@
     /// The maximum number of concurrent lookups.
     const MAX_LOOKUPS: usize = 4_096;
 
+    /// The minimum time between two checks of the agents that the store lists. One check serves all
+    /// lookups that wait for it.
+    const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
     /// The maximum number of agents that introduce another one.
     const MAX_INTRODUCERS: usize = 3;
 
@@ -109,6 +115,7 @@
             flows: FlowCache::default(),
             lookups: IndexMap::new(),
             queries: QueryOutbox::default(),
+            last_store_check_at: Timestamp::ZERO,
             missed_config: None,
         }
     }
--- a/arbutus-core/src/packet/steering/lookups.rs
+++ b/arbutus-core/src/packet/steering/lookups.rs
@@ -176,25 +176,50 @@
     }
 
     fn on_not_found(&mut self, flow: &FlowId, now: Timestamp) -> LookupStep {
-        let Some(lookup) = self.lookups.get_mut(flow) else {
-            return LookupStep::Wait;
-        };
-        let segment = lookup.last_segment;
-        if lookup.exhaustive && segment.expects_answer() {
-            let denied = lookup.answered_count();
-            self.lookups.swap_remove(flow);
-            return LookupStep::Reset {
-                flow: *flow,
-                acknowledged: segment.acknowledged,
-                denied,
-            };
+        if let Some(step) = self.conclude(flow, now) {
+            return step;
         }
-        if !lookup.exhaustive && lookup.suspend(now) {
+        let suspended = self.lookups.get_mut(flow).is_some_and(|it| it.suspend(now));
+        if suspended {
             return LookupStep::Wait;
         }
         self.abandon(flow)
     }
 
+    /// Continues a lookup that all its agents have denied at agents that have entered the view
+    /// since its start, or ends it with a reset if the view has no such agent.
+    ///
+    /// Returns `None` while an agent outside the view may own the flow.
+    fn conclude(&mut self, flow: &FlowId, now: Timestamp) -> Option<LookupStep> {
+        let lookup = self.lookups.get(flow).filter(|it| it.exhaustive)?;
+        let segment = lookup.last_segment;
+        let newcomers: Vec<_> = self.owners_outside(lookup).collect();
+        if !newcomers.is_empty() {
+            self.lookups.get_mut(flow)?.extend(&newcomers);
+            self.query(&newcomers, &segment, now);
+            return Some(LookupStep::Query(newcomers));
+        }
+        let view_age = self
+            .view
+            .age_if_complete_for(lookup.started_at(), now)
+            .filter(|_| segment.expects_answer())?;
+        let step = LookupStep::Reset {
+            flow: *flow,
+            acknowledged: segment.acknowledged,
+            denied: lookup.answered_count(),
+            duration: now.since(lookup.started_at()),
+            view_age,
+        };
+        self.lookups.swap_remove(flow);
+        Some(step)
+    }
+
+    /// Returns the agents in the view that may own the flow of `lookup` and are not part of it.
+    fn owners_outside<'a>(&'a self, lookup: &'a Lookup) -> impl Iterator<Item = SocketAddrV4> + 'a {
+        let owners = self.members.iter().filter(|it| it.may_own_flows());
+        owners.map(|it| it.agent).filter(|it| !lookup.includes(*it))
+    }
+
     fn abandon(&mut self, flow: &FlowId) -> LookupStep {
         let Some(lookup) = self.lookups.swap_remove(flow) else {
             return LookupStep::Wait;
@@ -214,7 +239,7 @@
     /// Handles lookups that have waited long enough, and returns their next steps.
     ///
     /// A lookup with late answers is retried, or abandoned after the last retry. A suspended lookup
-    /// continues once the balancer's view is complete.
+    /// continues once the balancer's view is complete and recent enough.
     pub fn expire_lookups(&mut self, now: Timestamp) -> Vec<(FlowId, LookupStep)> {
         self.queries.expire(now);
         let suspended = self.lookups.iter().filter(|(_, it)| it.is_suspended());
@@ -232,11 +257,18 @@
         steps
     }
 
-    /// Replaces a suspended lookup by an exhaustive one once the balancer's view is complete, or
-    /// abandons it if that takes too long.
+    /// Ends a suspended lookup that is exhaustive, or replaces it by an exhaustive one, once the
+    /// balancer's view allows that. Abandons it if that takes too long.
     ///
-    /// All agents are queried again, because agents may have been restarted since their answers.
+    /// A lookup that was not exhaustive queries all agents again, because agents may have been
+    /// restarted since their answers.
     fn resume_suspended(&mut self, flow: &FlowId, now: Timestamp) -> Option<LookupStep> {
+        if let Some(step) = self.conclude(flow, now) {
+            return Some(step);
+        }
+        if self.lookups.get(flow)?.exhaustive {
+            return self.abandon_overdue(flow, now);
+        }
         let segment = self.lookups.get(flow)?.last_segment;
         let config = self.config.as_ref()?;
         let route = config.routes.get(&flow.service).cloned();
@@ -247,6 +279,10 @@
             self.query(&queried, &segment, now);
             return Some(LookupStep::Query(queried));
         }
+        self.abandon_overdue(flow, now)
+    }
+
+    fn abandon_overdue(&mut self, flow: &FlowId, now: Timestamp) -> Option<LookupStep> {
         let overdue = self.lookups.get(flow)?.is_overdue(now);
         overdue.then(|| self.abandon(flow))
     }
--- a/arbutus-core/src/packet/steering/view.rs
+++ b/arbutus-core/src/packet/steering/view.rs
@@ -2,7 +2,9 @@
 
 use super::Steering;
 use crate::{
-    packet::{AgentListing, AgentReport, MemberChange, PeerSnapshot, member::Member},
+    packet::{
+        AgentListing, AgentReport, MemberChange, PeerSnapshot, lookup::Lookup, member::Member,
+    },
     time::Timestamp,
 };
 
@@ -54,6 +56,27 @@
         self.view.on_store_status(reachable, now);
     }
 
+    /// Records that all changes of the store have been applied that it had made before a call that
+    /// began at `asked_at`.
+    pub fn on_store_synced(&mut self, asked_at: Timestamp, now: Timestamp) {
+        self.view.on_store_synced(asked_at, now);
+    }
+
+    /// Returns when the store is to be asked for the agents that it lists at that time, because a
+    /// lookup can end with a reset only after that, or `None` if no lookup waits for it.
+    #[must_use]
+    pub fn store_check_due(&self) -> Option<Timestamp> {
+        let useful_from = self.view.lists_agents_from()?;
+        let waits = |it: &Lookup| it.is_suspended() && !self.view.has_listings_of(it.started_at());
+        let wanted = self.lookups.values().any(waits);
+        wanted.then(|| useful_from.max(self.last_store_check_at + Self::STORE_CHECK_INTERVAL))
+    }
+
+    /// Records that the store is asked for the agents that it lists now.
+    pub const fn on_store_check(&mut self, now: Timestamp) {
+        self.last_store_check_at = now;
+    }
+
     /// Records that the store has come back from an older copy: it may list agents that have ended,
     /// and miss agents that run. No flow is reset for it until the agents are listed again.
     pub fn on_store_restored(&mut self, now: Timestamp) {
--- a/arbutus-core/tests/packet/lookup_cases.rs
+++ b/arbutus-core/tests/packet/lookup_cases.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use arbutus_core::packet::{
     FlowId, LookupAnswer, LookupStep, RelayHeader, Steering, SteeringDecision,
 };
@@ -32,6 +34,14 @@
     step
 }
 
+/// Has the store tell at `ms` that it listed no further agent at `asked_ms`, and returns the next
+/// step of the flow's lookup.
+fn confirm_view(steering: &mut Steering, asked_ms: u64, ms: u64) -> LookupStep {
+    steering.on_store_synced(at(asked_ms), at(ms));
+    let mut steps = steering.expire_lookups(at(ms));
+    steps.pop().map_or(LookupStep::Wait, |(_, step)| step)
+}
+
 #[test]
 fn packets_of_an_open_flow_are_buffered_until_its_owner_is_found() {
     let mut steering = steering_with_agents(3);
@@ -89,15 +99,89 @@
     let mut steering = steering_with_agents(3);
     report_agents(&mut steering, 3, None, 3_400);
     steering.on_packet(&request(1, 900), PACKET, at(3_500));
-    let step = deny_from_all(&mut steering, 3, 3_501);
+    assert_eq!(deny_from_all(&mut steering, 3, 3_501), LookupStep::Wait);
+    let step = confirm_view(&mut steering, 3_501, 3_508);
     let expected = LookupStep::Reset {
         flow: flow(1),
         acknowledged: 900,
         denied: 3,
+        duration: Duration::from_millis(8),
+        view_age: Duration::from_millis(7),
     };
     assert_eq!(step, expected);
 }
 
+/// Guards against the reset of a flow whose agent the store listed after the balancer last asked:
+/// other balancers knew the agent and used it.
+#[test]
+fn a_flow_that_all_agents_deny_is_not_reset_before_the_store_was_asked_for_others() {
+    let mut steering = steering_with_agents(3);
+    report_agents(&mut steering, 3, None, 3_400);
+    steering.on_store_synced(at(3_499), at(3_499));
+    steering.on_packet(&request(1, 900), PACKET, at(3_500));
+    assert_eq!(deny_from_all(&mut steering, 3, 3_501), LookupStep::Wait);
+    assert_eq!(steering.expire_lookups(at(3_560)), []);
+    assert!(steering.store_check_due().is_some_and(|it| it <= at(3_501)));
+    steering.on_listed(&listing(3, SERVICE, 1), at(3_565));
+    let step = confirm_view(&mut steering, 3_560, 3_565);
+    assert_eq!(step, LookupStep::Query(vec![agent(3)]));
+    let found = steering.on_answer(agent(3), flow(1), LookupAnswer::Owned, at(3_570));
+    assert!(matches!(found, LookupStep::Relay { .. }), "{found:?}");
+}
+
+/// Guards against the reset of a flow whose agent entered the view during the lookup.
+#[test]
+fn a_flow_is_not_reset_before_an_agent_that_joined_during_the_lookup_has_denied_it() {
+    let mut steering = steering_with_agents(3);
+    report_agents(&mut steering, 3, None, 3_400);
+    steering.on_packet(&request(1, 900), PACKET, at(3_500));
+    steering.on_listed(&listing(3, SERVICE, 1), at(3_501));
+    let step = deny_from_all(&mut steering, 3, 3_502);
+    assert_eq!(step, LookupStep::Query(vec![agent(3)]));
+    let denied = steering.on_answer(agent(3), flow(1), LookupAnswer::NotOwned, at(3_503));
+    assert_eq!(denied, LookupStep::Wait);
+    let step = confirm_view(&mut steering, 3_503, 3_510);
+    assert!(
+        matches!(step, LookupStep::Reset { denied: 4, .. }),
+        "{step:?}"
+    );
+}
+
+#[test]
+fn a_lookup_is_abandoned_when_the_store_does_not_tell_which_agents_it_lists() {
+    let mut steering = steering_with_agents(3);
+    report_agents(&mut steering, 3, None, 3_400);
+    steering.on_packet(&request(1, 900), PACKET, at(3_500));
+    assert_eq!(deny_from_all(&mut steering, 3, 3_501), LookupStep::Wait);
+    assert_eq!(confirm_view(&mut steering, 3_499, 4_699), LookupStep::Wait);
+    let ended = steering.expire_lookups(at(4_700));
+    assert!(
+        matches!(&ended[..], [(_, LookupStep::Abandon { asked: 3, .. })]),
+        "{ended:?}"
+    );
+    assert_eq!(steering.store_check_due(), None);
+}
+
+#[test]
+fn one_check_of_the_store_serves_all_lookups_that_began_before_it() {
+    let mut steering = steering_with_agents(3);
+    report_agents(&mut steering, 3, None, 3_400);
+    for (number, ms) in [(1, 3_500), (2, 3_510), (3, 3_530)] {
+        steering.on_packet(&request(number, 900), PACKET, at(ms));
+        for index in 0..3 {
+            let denied = LookupAnswer::NotOwned;
+            steering.on_answer(agent(index), flow(number), denied, at(ms));
+        }
+    }
+    steering.on_store_check(at(3_520));
+    steering.on_store_synced(at(3_520), at(3_540));
+    let resets = steering.expire_lookups(at(3_540));
+    let flows: Vec<_> = resets.iter().map(|(flow, _)| *flow).collect();
+    assert_eq!(flows, [flow(1), flow(2)]);
+    // The next check is not made before the last one is 200 ms old.
+    assert_eq!(steering.store_check_due(), Some(at(3_720)));
+}
+
 #[test]
 fn a_new_balancer_resets_a_flow_only_after_it_queried_all_agents_of_a_complete_view() {
     let mut steering = steering_with_agents(3);
@@ -108,7 +192,8 @@
     let again = sorted(steering.expire_lookups(at(701)));
     let everyone = LookupStep::Query(vec![agent(0), agent(1), agent(2)]);
     assert_eq!(again, [(flow(1), everyone)]);
-    let step = deny_from_all(&mut steering, 3, 702);
+    assert_eq!(deny_from_all(&mut steering, 3, 702), LookupStep::Wait);
+    let step = confirm_view(&mut steering, 702, 709);
     assert!(matches!(step, LookupStep::Reset { .. }), "{step:?}");
 }
 
@@ -217,10 +302,12 @@
     let mut steering = steering_with_agents(AGENTS);
     steering.on_peer_agents(&[], true, at(1));
     steering.on_packet(&request(1, 900), PACKET, at(2));
-    let steps: Vec<_> = (0..2)
+    let mut steps: Vec<_> = (0..2)
         .flat_map(|_| 0..AGENTS)
         .map(|it| steering.on_answer(agent(it), flow(1), LookupAnswer::NotOwned, at(3)))
         .collect();
+    steps.push(confirm_view(&mut steering, 3, 4));
+    steps.push(confirm_view(&mut steering, 5, 6));
     let resets = steps
         .iter()
         .filter(|it| matches!(it, LookupStep::Reset { denied: AGENTS, .. }));
@@ -326,7 +413,8 @@
     steering.on_peer_agents(&[listing(2, SERVICE, 1)], true, at(400));
     assert!(steering.snapshot(at(400)).settled);
     steering.on_packet(&request(1, 900), PACKET, at(401));
-    let step = deny_from_all(&mut steering, 3, 402);
+    assert_eq!(deny_from_all(&mut steering, 3, 402), LookupStep::Wait);
+    let step = confirm_view(&mut steering, 402, 409);
     assert!(matches!(step, LookupStep::Reset { .. }), "{step:?}");
 }
 
@@ -337,9 +425,11 @@
     steering.on_store_status(true, at(6_000));
     for (ms, resets) in [(7_000, false), (8_600, true)] {
         report_agents(&mut steering, 3, None, ms);
-        steering.expire_lookups(at(ms));
+        // Ends the lookup of the row before, which has waited for longer than callers do.
+        steering.expire_lookups(at(ms - 300));
         steering.on_packet(&request(1, 900), PACKET, at(ms));
-        let step = deny_from_all(&mut steering, 3, ms);
+        assert_eq!(deny_from_all(&mut steering, 3, ms), LookupStep::Wait);
+        let step = confirm_view(&mut steering, ms, ms);
         let reset = matches!(step, LookupStep::Reset { .. });
         assert_eq!(reset, resets, "at {ms} ms: {step:?}");
     }
--- a/arbutus-core/tests/packet/world/routing.rs
+++ b/arbutus-core/tests/packet/world/routing.rs
@@ -212,6 +212,7 @@
         for (_, step) in late {
             self.apply_step(index, step);
         }
+        self.check_store(index);
         self.schedule(BALANCER_TICK, Event::BalancerTick(index, generation));
     }
 }
--- a/arbutus-io/src/metrics/packet_balancer_metrics.rs
+++ b/arbutus-io/src/metrics/packet_balancer_metrics.rs
@@ -32,6 +32,8 @@
     pub store_failures: Counter,
     /// How often the store came back from an older copy.
     pub store_restores: Counter,
+    /// Calls to the store for the agents that it lists, before a flow may be reset.
+    pub store_checks: Counter,
     /// Duration of calls to the store, in seconds.
     pub store_seconds: Histogram,
 }
@@ -53,6 +55,7 @@
             config_version: Gauge::default(),
             store_failures: Counter::default(),
             store_restores: Counter::default(),
+            store_checks: Counter::default(),
             store_seconds: Histogram::new(super::STORE_BUCKETS_S),
         }
     }
@@ -111,6 +114,11 @@
             "How often the store came back from an older copy",
             self.store_restores.clone(),
         );
+        registry.register(
+            "arbutus_store_checks",
+            "Calls to the store for the agents that it lists, before a flow may be reset",
+            self.store_checks.clone(),
+        );
         registry.register(
             "arbutus_store_seconds",
             "Time that a store call took",
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -43,6 +43,8 @@
     state: Mutex<State>,
     /// Notified when another balancer has a newer configuration that should be fetched.
     config_missed: Notify,
+    /// Notified when a lookup waits for the store's present state.
+    store_check_requested: Notify,
 }
 
 #[derive(Debug)]
@@ -90,6 +92,7 @@
             sockets,
             state: Mutex::new(state),
             config_missed: Notify::new(),
+            store_check_requested: Notify::new(),
         })
     }
 
--- a/arbutus-io/src/packet/balancer/lookup.rs
+++ b/arbutus-io/src/packet/balancer/lookup.rs
@@ -5,7 +5,9 @@
     time::Timestamp,
 };
 
-use super::PacketBalancer;
+use tokio::time;
+
+use super::{PacketBalancer, age_ms};
 use crate::{clock, packet::PacketCodec};
 
 /// Lookups of the agents that own open flows.
@@ -45,6 +47,7 @@
         for (flow, step) in steps {
             self.execute_step(flow, step, now);
         }
+        self.request_store_check();
     }
 
     pub(super) fn on_flow_not_owned(&self, agent: SocketAddrV4, flow: FlowId, now: Timestamp) {
@@ -53,6 +56,7 @@
         let step = state.steering.on_answer(agent, flow, answer, now);
         drop(state);
         self.execute_step(flow, step, now);
+        self.request_store_check();
     }
 
     pub(super) fn execute_step(&self, flow: FlowId, step: LookupStep, now: Timestamp) {
@@ -69,10 +73,13 @@
                 flow,
                 acknowledged,
                 denied,
+                duration,
+                view_age,
             } => {
                 self.metrics.resets.inc();
                 let cause = ResetCause::NobodyHolds.name();
-                tracing::info!(%flow, cause, denied, "flow_reset");
+                let (searched_ms, view_age_ms) = (age_ms(Some(duration)), age_ms(Some(view_age)));
+                tracing::info!(%flow, cause, denied, searched_ms, view_age_ms, "flow_reset");
                 let reset = self.codec.encode_reset(&flow, acknowledged);
                 self.send(&reset, self.codec.caller_address(&flow));
             }
@@ -101,5 +108,34 @@
         for (flow, step) in overdue {
             self.execute_step(flow, step, now);
         }
+        self.request_store_check();
+    }
+
+    /// Wakes the task that follows the store if a lookup waits for the store's present state.
+    fn request_store_check(&self) {
+        if self.state.lock().steering.store_check_due().is_some() {
+            self.store_check_requested.notify_one();
+        }
+    }
+
+    /// Waits until a lookup needs to know which agents the store lists now.
+    pub async fn store_check_wanted(&self) {
+        loop {
+            let now = clock::now();
+            let due = self.state.lock().steering.store_check_due();
+            match due {
+                Some(at) if at <= now => return,
+                Some(at) => time::sleep(at.since(now)).await,
+                None => self.store_check_requested.notified().await,
+            }
+        }
+    }
+
+    /// Records that the store is asked now which agents it lists, and returns the time.
+    pub fn begin_store_check(&self) -> Timestamp {
+        let now = clock::now();
+        self.state.lock().steering.on_store_check(now);
+        self.metrics.store_checks.inc();
+        now
     }
 }
--- a/arbutus-io/src/packet/balancer/store_events.rs
+++ b/arbutus-io/src/packet/balancer/store_events.rs
@@ -1,6 +1,9 @@
 use std::net::SocketAddrV4;
 
-use arbutus_core::packet::{AgentListing, PacketConfig, PeerSnapshot};
+use arbutus_core::{
+    packet::{AgentListing, PacketConfig, PeerSnapshot},
+    time::Timestamp,
+};
 
 use super::PacketBalancer;
 use crate::{clock, packet::PacketCodec};
@@ -69,6 +72,16 @@
             .on_store_status(reachable, clock::now());
     }
 
+    /// Records that all changes of the store have been applied that it had made before a call that
+    /// began at `asked_at`, and continues the lookups that waited for them.
+    pub fn on_store_synced(&self, asked_at: Timestamp) {
+        let now = clock::now();
+        let mut state = self.state.lock();
+        state.steering.on_store_synced(asked_at, now);
+        drop(state);
+        self.expire_lookups(now);
+    }
+
     /// Records that the store has come back from an older copy.
     pub fn on_store_restored(&self) {
         self.state.lock().steering.on_store_restored(clock::now());
