fix(core): seeds are asked for unlisted agents before a flow that everyone denies is reset

What callers would see: a reset of an open flow of a living backend server whose agent the store does not list, at a balancer that was not told of the agent. Found by a random run of the code before this commit: the agent was listed for 0.4 s, between two readings of balancer 3, made itself known to the seeds, and got flows from one of them; balancer 3 reset one after all its agents had denied it and the store had named no other. Ruled out: a denial by the agent (it was not asked), a stale answer of the store (the agent is not listed), a lost introduction (balancer 3 is no seed).

Cause: the claim rested on introductions that are passed on once, by datagram, to some balancers. Whoever knows such an agent has it from a seed, so now the seeds are asked, after the first packet of the search. A seed that stays silent for three queries is not waited for; without any answer only a seed claims.

--- a/arbutus-core/src/packet.rs
+++ b/arbutus-core/src/packet.rs
@@ -67,6 +67,7 @@
 mod registration;
 mod relay_header;
 mod route_target;
+mod seed_queries;
 mod segment;
 mod segment_flags;
 mod service_shares;
--- a/arbutus-core/src/packet/agent_view.rs
+++ b/arbutus-core/src/packet/agent_view.rs
@@ -53,6 +53,10 @@
         }
     }
 
+    pub(super) const fn set_introduced(&mut self, is_introduced: bool) {
+        self.is_introduced = is_introduced;
+    }
+
     pub(super) fn on_store_status(&mut self, reachable: bool, now: Timestamp) {
         if reachable {
             self.store_reachable_since.get_or_insert(now);
--- a/arbutus-core/src/packet/message.rs
+++ b/arbutus-core/src/packet/message.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{AgentReport, FlowId, LookupAnswer, Question, RelayHeader};
+use super::{AgentListing, AgentReport, FlowId, LookupAnswer, Question, RelayHeader};
 
-/// A message between a balancer and an agent, sent in one datagram.
+/// A message between a balancer and an agent or another balancer, sent in one datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Relays the packet behind the message to the header's current candidate.
@@ -54,6 +54,24 @@
         /// The balancer that gets the report.
         balancer: SocketAddrV4,
     },
+    /// Queries a seed for the agents that the store does not list.
+    UnlistedQuery {
+        /// The balancer that gets the answer.
+        balancer: SocketAddrV4,
+        /// The number that identifies the query in its answer.
+        number: u32,
+    },
+    /// Answers a query for the agents that the store does not list.
+    UnlistedAnswer {
+        /// The balancer that answers.
+        seed: SocketAddrV4,
+        /// The number of the query.
+        number: u32,
+        /// The agents in the sender's view.
+        agents: Vec<AgentListing>,
+        /// Whether `agents` contains all of them.
+        all: bool,
+    },
 }
 
 /// An error for a datagram that is not a valid message.
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -15,6 +15,7 @@
     member_table::MemberTable,
     placement::Placement,
     query_outbox::QueryOutbox,
+    seed_queries::SeedQueries,
 };
 use crate::{config::ConfigVersion, time::Timestamp};
 
@@ -27,9 +28,9 @@
     pub failure_domain: Arc<str>,
     /// The cost of placing a new flow in another failure domain, in flows per slot.
     pub cross_domain_cost: f64,
-    /// Whether the settings of agents name this balancer, so that agents that the store does not
-    /// list introduce themselves to it.
-    pub is_seed: bool,
+    /// The balancers that the settings of agents name, as the addresses where they receive messages.
+    /// Agents that the store does not list introduce themselves to them. This balancer may be one.
+    pub seeds: Vec<SocketAddrV4>,
 }
 
 /// The state machine that decides on packets in a balancer.
@@ -47,6 +48,7 @@
     lookups: IndexMap<FlowId, Lookup>,
     queries: QueryOutbox,
     view: AgentView,
+    seeds: SeedQueries,
     /// When the store was last asked for the agents that it lists, for a lookup.
     last_store_check_at: Timestamp,
     /// A configuration that another balancer has, always newer than `config`.
@@ -90,6 +92,10 @@
     /// lookups that wait for it.
     const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+    /// The maximum number of agents in an answer about agents that the store does not list. One
+    /// datagram has room for them.
+    const MAX_UNLISTED: usize = 24;
+
     /// The maximum number of agents that introduce another one.
     const MAX_INTRODUCERS: usize = 3;
 
@@ -107,8 +113,11 @@
     /// Creates a balancer's state without configuration, agents and flows.
     #[must_use]
     pub fn new(settings: SteeringSettings, now: Timestamp) -> Self {
+        let mut seeds = SeedQueries::default();
+        seeds.set_seeds(settings.balancer, &settings.seeds);
         Self {
-            view: AgentView::new(settings.is_seed, now),
+            view: AgentView::new(seeds.is_seed(), now),
+            seeds,
             settings,
             config: None,
             members: MemberTable::default(),
--- a/arbutus-core/src/packet/steering/lookups.rs
+++ b/arbutus-core/src/packet/steering/lookups.rs
@@ -202,6 +202,7 @@
         let view_age = self
             .view
             .age_if_complete_for(lookup.started_at(), now)
+            .filter(|_| self.seeds.is_known_for(lookup.started_at()))
             .filter(|_| segment.expects_answer())?;
         let step = LookupStep::Reset {
             flow: *flow,
--- a/arbutus-core/src/packet/steering/view.rs
+++ b/arbutus-core/src/packet/steering/view.rs
@@ -3,7 +3,8 @@
 use super::Steering;
 use crate::{
     packet::{
-        AgentListing, AgentReport, MemberChange, PeerSnapshot, lookup::Lookup, member::Member,
+        AgentListing, AgentReport, MemberChange, Message, PeerSnapshot, lookup::Lookup,
+        member::Member,
     },
     time::Timestamp,
 };
@@ -77,6 +78,59 @@
         self.last_store_check_at = now;
     }
 
+    /// Replaces the balancers that agents introduce themselves to.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.seeds.set_seeds(self.settings.balancer, seeds);
+        self.view.set_introduced(self.seeds.is_seed());
+    }
+
+    /// Returns the query to send to seeds now for the agents that the store does not list, and the
+    /// seeds, if a lookup can end with a reset only after their answers.
+    pub fn take_seed_queries(&mut self, now: Timestamp) -> Option<(Message, Vec<SocketAddrV4>)> {
+        let waits = |it: &Lookup| it.is_suspended() && !self.seeds.is_known_for(it.started_at());
+        let wanted = self.lookups.values().any(waits);
+        let (number, seeds) = self.seeds.take_due(wanted, now)?;
+        let query = Message::UnlistedQuery {
+            balancer: self.settings.balancer,
+            number,
+        };
+        Some((query, seeds))
+    }
+
+    /// Returns the answer to another balancer's query `number` for the agents that the store does
+    /// not list.
+    #[must_use]
+    pub fn on_unlisted_query(&self, number: u32) -> Message {
+        let unlisted = self
+            .members
+            .iter()
+            .filter(|it| !it.listed && it.may_own_flows());
+        let mut agents: Vec<_> = unlisted.map(Member::listing).collect();
+        let all = agents.len() <= Self::MAX_UNLISTED;
+        agents.truncate(Self::MAX_UNLISTED);
+        Message::UnlistedAnswer {
+            seed: self.settings.balancer,
+            number,
+            agents,
+            all,
+        }
+    }
+
+    /// Records the answer of a seed to the query `number`.
+    pub fn on_unlisted_answer(
+        &mut self,
+        seed: SocketAddrV4,
+        number: u32,
+        agents: &[AgentListing],
+        all: bool,
+        now: Timestamp,
+    ) {
+        for agent in agents {
+            self.members.on_peer_listing(agent, now);
+        }
+        self.seeds.on_answer(seed, number, all);
+    }
+
     /// Records that the store has come back from an older copy: it may list agents that have ended,
     /// and miss agents that run. No flow is reset for it until the agents are listed again.
     pub fn on_store_restored(&mut self, now: Timestamp) {
--- a/arbutus-core/tests/packet/fixture.rs
+++ b/arbutus-core/tests/packet/fixture.rs
@@ -96,12 +96,17 @@
     config
 }
 
+/// Returns the state of a balancer that is the only seed.
 pub fn steering() -> Steering {
+    steering_with_seeds(vec![balancer(0)])
+}
+
+pub fn steering_with_seeds(seeds: Vec<SocketAddrV4>) -> Steering {
     let settings = SteeringSettings {
         balancer: balancer(0),
         failure_domain: Arc::from("a"),
         cross_domain_cost: 1.0,
-        is_seed: true,
+        seeds,
     };
     let mut steering = Steering::new(settings, at(0));
     steering.on_config(config(1, &[(SERVICE, 1)]));
@@ -171,12 +176,17 @@
 /// Returns a balancer's state with `agents` ready agents, whose view is complete from 3,500 ms on.
 pub fn steering_with_agents(agents: usize) -> Steering {
     let mut steering = steering();
+    add_agents(&mut steering, agents);
+    steering
+}
+
+/// Has the store list `agents` ready agents.
+pub fn add_agents(steering: &mut Steering, agents: usize) {
     for index in 0..agents {
         steering.on_listed(&listing(index, SERVICE, 1), at(0));
         steering.on_report(report(index, 1, AgentStatus::Ready, 0), at(0));
     }
     steering.on_store_status(true, at(0));
-    steering
 }
 
 /// Records a report of every agent but `silent` at `ms`.
--- a/arbutus-core/tests/packet/main.rs
+++ b/arbutus-core/tests/packet/main.rs
@@ -13,6 +13,7 @@
 mod registration;
 mod relay_header;
 mod routes;
+mod seed_cases;
 mod steering_cases;
 mod store_eras;
 mod tracker_cases;
--- a/arbutus-core/tests/packet/message_bytes.rs
+++ b/arbutus-core/tests/packet/message_bytes.rs
@@ -1,7 +1,7 @@
 use arbutus_core::packet::{AgentStatus, LookupAnswer, Message, QueryBatch, Question};
 use proptest::{collection::vec, prelude::*};
 
-use super::fixture::{agent, balancer, flow, header, report};
+use super::fixture::{SERVICE, agent, balancer, flow, header, listing, report};
 
 #[test]
 fn every_message_decodes_to_itself_with_the_packet_behind_it() {
@@ -35,6 +35,16 @@
         Message::Probe {
             balancer: balancer(0),
         },
+        Message::UnlistedQuery {
+            balancer: balancer(0),
+            number: 7,
+        },
+        Message::UnlistedAnswer {
+            seed: balancer(1),
+            number: 7,
+            agents: vec![listing(0, SERVICE, 3), listing(1, SERVICE, 4)],
+            all: true,
+        },
     ];
     for message in others {
         let bytes = message.encode(&[]);
--- a/arbutus-core/tests/packet/random_runs.rs
+++ b/arbutus-core/tests/packet/random_runs.rs
@@ -238,3 +238,10 @@
 fn a_balancer_that_starts_alone_does_not_reset_flows_of_an_agent_that_nobody_tells_it_of() {
     run_with_faults(16_454_069_191_781_801_473);
 }
+
+/// Guards against the reset of a flow of an agent that the store listed for less time than a
+/// balancer needs to hear of it: only the seeds knew the agent then.
+#[test]
+fn a_flow_of_an_agent_that_only_the_seeds_know_is_not_reset() {
+    run_with_faults(5_182_869_960_833_758_880);
+}
--- a/arbutus-core/tests/packet/world/agents.rs
+++ b/arbutus-core/tests/packet/world/agents.rs
@@ -134,7 +134,9 @@
             Message::Report(_)
             | Message::FlowOwned { .. }
             | Message::Answer { .. }
-            | Message::FlowNotOwned { .. } => unreachable!("not for agents"),
+            | Message::FlowNotOwned { .. }
+            | Message::UnlistedQuery { .. }
+            | Message::UnlistedAnswer { .. } => unreachable!("not for agents"),
         }
     }
 
--- a/arbutus-core/tests/packet/world/faults.rs
+++ b/arbutus-core/tests/packet/world/faults.rs
@@ -26,7 +26,7 @@
             balancer: fixture::balancer(index),
             failure_domain: fixture::failure_domain(index),
             cross_domain_cost: 1.0,
-            is_seed: index < SEEDS,
+            seeds: (0..SEEDS).map(fixture::balancer).collect(),
         };
         let mut steering = Steering::new(settings, self.now);
         steering.on_config(fixture::config(1, &[(SERVICE, 1)]));
--- a/arbutus-core/tests/packet/world/routing.rs
+++ b/arbutus-core/tests/packet/world/routing.rs
@@ -109,6 +109,18 @@
         }
     }
 
+    fn send_seed_queries(&mut self, index: usize) {
+        let now = self.now;
+        let Some(balancer) = &mut self.balancers[index] else {
+            return;
+        };
+        if let Some((query, seeds)) = balancer.steering.take_seed_queries(now) {
+            for seed in seeds {
+                self.send_to_balancer(seed, query.encode(&[]));
+            }
+        }
+    }
+
     pub(super) fn queries_due(&mut self, index: usize, generation: u64) {
         let current = self.balancers[index].as_ref().map(|it| it.generation);
         if current == Some(generation) {
@@ -153,6 +165,19 @@
                 }
             }
             Message::FlowNotOwned { agent, flow } => self.on_not_owned(index, agent, flow),
+            Message::UnlistedQuery {
+                balancer: from,
+                number,
+            } => {
+                let answer = steering.on_unlisted_query(number).encode(&[]);
+                self.send_to_balancer(from, answer);
+            }
+            Message::UnlistedAnswer {
+                seed,
+                number,
+                agents,
+                all,
+            } => steering.on_unlisted_answer(seed, number, &agents, all, now),
             Message::Relay(_) | Message::Query { .. } | Message::Probe { .. } => {
                 unreachable!("not for balancers")
             }
@@ -213,6 +238,7 @@
             self.apply_step(index, step);
         }
         self.check_store(index);
+        self.send_seed_queries(index);
         self.schedule(BALANCER_TICK, Event::BalancerTick(index, generation));
     }
 }
--- a/arbutus-io/src/metrics/packet_balancer_metrics.rs
+++ b/arbutus-io/src/metrics/packet_balancer_metrics.rs
@@ -34,6 +34,9 @@
     pub store_restores: Counter,
     /// Calls to the store for the agents that it lists, before a flow may be reset.
     pub store_checks: Counter,
+    /// Rounds of queries to seeds for agents that the store does not list, before a flow may be
+    /// reset.
+    pub seed_queries: Counter,
     /// Duration of calls to the store, in seconds.
     pub store_seconds: Histogram,
 }
@@ -56,6 +59,7 @@
             store_failures: Counter::default(),
             store_restores: Counter::default(),
             store_checks: Counter::default(),
+            seed_queries: Counter::default(),
             store_seconds: Histogram::new(super::STORE_BUCKETS_S),
         }
     }
@@ -119,6 +123,11 @@
             "Calls to the store for the agents that it lists, before a flow may be reset",
             self.store_checks.clone(),
         );
+        registry.register(
+            "arbutus_seed_queries",
+            "Queries to seeds for agents that the store does not list, before a flow may be reset",
+            self.seed_queries.clone(),
+        );
         registry.register(
             "arbutus_store_seconds",
             "Time that a store call took",
--- a/arbutus-io/src/packet/agent.rs
+++ b/arbutus-io/src/packet/agent.rs
@@ -118,7 +118,9 @@
                     Message::Report(_)
                     | Message::FlowOwned { .. }
                     | Message::Answer { .. }
-                    | Message::FlowNotOwned { .. },
+                    | Message::FlowNotOwned { .. }
+                    | Message::UnlistedQuery { .. }
+                    | Message::UnlistedAnswer { .. },
                     _,
                 )) => self.count_drop("not-for-us"),
                 Err(_) => self.count_drop("unreadable-message"),
--- a/arbutus-io/src/packet/balancer.rs
+++ b/arbutus-io/src/packet/balancer.rs
@@ -208,6 +208,19 @@
             Ok((Message::Introduced(report), _)) => {
                 self.on_report(report, now);
             }
+            Ok((Message::UnlistedQuery { balancer, number }, _)) => {
+                let answer = self.state.lock().steering.on_unlisted_query(number);
+                self.send(&answer.encode(&[]), balancer);
+            }
+            Ok((
+                Message::UnlistedAnswer {
+                    seed,
+                    number,
+                    agents,
+                    all,
+                },
+                _,
+            )) => self.on_unlisted_answer(seed, number, &agents, all, now),
             Ok((Message::Relay(_) | Message::Probe { .. } | Message::Query { .. }, _)) => {
                 self.count_drop("not-for-us");
             }
--- a/arbutus-io/src/packet/balancer/lookup.rs
+++ b/arbutus-io/src/packet/balancer/lookup.rs
@@ -47,7 +47,7 @@
         for (flow, step) in steps {
             self.execute_step(flow, step, now);
         }
-        self.request_store_check();
+        self.request_view_check(now);
     }
 
     pub(super) fn on_flow_not_owned(&self, agent: SocketAddrV4, flow: FlowId, now: Timestamp) {
@@ -56,7 +56,7 @@
         let step = state.steering.on_answer(agent, flow, answer, now);
         drop(state);
         self.execute_step(flow, step, now);
-        self.request_store_check();
+        self.request_view_check(now);
     }
 
     pub(super) fn execute_step(&self, flow: FlowId, step: LookupStep, now: Timestamp) {
@@ -108,14 +108,25 @@
         for (flow, step) in overdue {
             self.execute_step(flow, step, now);
         }
-        self.request_store_check();
+        self.request_view_check(now);
     }
 
-    /// Wakes the task that follows the store if a lookup waits for the store's present state.
-    fn request_store_check(&self) {
-        if self.state.lock().steering.store_check_due().is_some() {
+    /// Asks the store and the seeds for agents outside the view if a lookup waits for that.
+    fn request_view_check(&self, now: Timestamp) {
+        let mut state = self.state.lock();
+        let check_store = state.steering.store_check_due().is_some();
+        let queries = state.steering.take_seed_queries(now);
+        drop(state);
+        if check_store {
             self.store_check_requested.notify_one();
         }
+        if let Some((query, seeds)) = queries {
+            self.metrics.seed_queries.inc();
+            let query = query.encode(&[]);
+            for seed in seeds {
+                self.send(&query, seed);
+            }
+        }
     }
 
     /// Waits until a lookup needs to know which agents the store lists now.
--- a/arbutus-io/src/packet/balancer/store_events.rs
+++ b/arbutus-io/src/packet/balancer/store_events.rs
@@ -64,6 +64,32 @@
         tracing::info!(agents, settled, "peer_snapshot_taken");
     }
 
+    /// Applies a seed's answer about agents that the store does not list, and continues the lookups
+    /// that waited for it.
+    pub(super) fn on_unlisted_answer(
+        &self,
+        seed: SocketAddrV4,
+        number: u32,
+        agents: &[AgentListing],
+        all: bool,
+        now: Timestamp,
+    ) {
+        let mut state = self.state.lock();
+        state
+            .steering
+            .on_unlisted_answer(seed, number, agents, all, now);
+        drop(state);
+        if !agents.is_empty() {
+            tracing::info!(%seed, agents = agents.len(), all, "unlisted_agents_told");
+        }
+        self.expire_lookups(now);
+    }
+
+    /// Replaces the balancers that agents introduce themselves to.
+    pub fn set_seeds(&self, seeds: &[SocketAddrV4]) {
+        self.state.lock().steering.set_seeds(seeds);
+    }
+
     /// Records whether the store is reachable.
     pub fn on_store_status(&self, reachable: bool) {
         self.state
