fix(core): an agent denies flows only if the store knows no agent before it of the same backend server

Hypotheses: the backend server turned packets away (its record has none); the balancer asked elsewhere (it relayed to the agent as confirmed owner); the agent took its table for complete. The heartbeats show the last one: number 0 acknowledged by the first agent at 4.02 s, number 2 by the second, started at 5.51 s, while the backend server says 6.02 s of its start.

Cause: "I know all flows" compared two readings of a wall clock that was set back in between. Now it rests on the store: the listing names the process of the backend server that the agent serves, the next agent reads it in the conflict of its first write, and denies nothing if it is the same one, unreadable or not read yet. Clocks and heartbeat numbers stay a second condition. An agent that has heard an earlier process of its backend server needs neither. No further call on a start; one write when a backend server starts again beside its agent.

Changed checks: the fixture's agents are told that the store has no earlier entry, which the cases took for granted.

--- a/arbutus-core/src/packet/backend_monitor.rs
+++ b/arbutus-core/src/packet/backend_monitor.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
-use super::{BackendState, Heartbeat};
+use super::{BackendProcess, BackendState, Heartbeat};
 use crate::{ident::Incarnation, time::Timestamp};
 
 /// The effect of a heartbeat on an agent's view of its backend server.
@@ -34,6 +34,8 @@
     last_heartbeat_at: Timestamp,
     /// The first heartbeat of the present process that arrived.
     first_heartbeat: Option<FirstHeartbeat>,
+    /// Whether a heartbeat of a process before the present one has arrived.
+    has_met_earlier_process: bool,
     /// When the last heartbeat of the process before the present one arrived, until that is taken.
     predecessor_last_heartbeat_at: Option<Timestamp>,
     /// Whether the sender of `last_heartbeat` has reported that it ends.
@@ -76,6 +78,7 @@
             last_heartbeat: None,
             last_heartbeat_at: Timestamp::ZERO,
             first_heartbeat: None,
+            has_met_earlier_process: false,
             predecessor_last_heartbeat_at: None,
             left: false,
             unanswered_since: None,
@@ -93,11 +96,10 @@
             return HeartbeatOutcome::Late;
         }
         let before = self.state(now);
-        let same_process = self
-            .last_heartbeat
-            .as_ref()
-            .is_some_and(|it| same_process(it, &heartbeat));
+        let process = heartbeat.process();
+        let same_process = self.process().is_some_and(|it| it == process);
         if !same_process {
+            self.has_met_earlier_process = self.last_heartbeat.is_some();
             self.predecessor_last_heartbeat_at =
                 self.last_heartbeat.as_ref().map(|_| self.last_heartbeat_at);
             self.failed_at = None;
@@ -120,7 +122,7 @@
         let Some(last) = &self.last_heartbeat else {
             return false;
         };
-        if same_process(last, heartbeat) {
+        if last.process() == heartbeat.process() {
             return self.left || heartbeat.sequence <= last.sequence;
         }
         // If the last process is silent, the wall clock may have been set back between the two
@@ -213,13 +215,25 @@
             .is_some_and(|since| now.since(since) >= Self::RESPONSE_TIMEOUT)
     }
 
-    /// Returns whether no earlier process of the agent can have delivered flows to the backend
-    /// server. The agent's process of `incarnation` started at `start`.
+    /// Returns the process that sent the last heartbeat.
+    #[must_use]
+    pub fn process(&self) -> Option<BackendProcess> {
+        self.last_heartbeat.as_ref().map(Heartbeat::process)
+    }
+
+    /// Returns whether an earlier process of the backend server has sent a heartbeat to this process
+    /// of the agent, so that the present one has started after the agent.
+    pub(super) const fn has_met_earlier_process(&self) -> bool {
+        self.has_met_earlier_process
+    }
+
+    /// Returns whether the clocks say that no earlier process of the agent can have delivered flows
+    /// to the backend server. The agent's process of `incarnation` started at `start`.
     ///
     /// Either the backend server started after this process, or this process received its first
-    /// heartbeat. The start times on the wall clock decide. The clock may have been set in between,
-    /// so the sequence number of the first heartbeat that arrived must be consistent with them too.
-    pub(super) fn has_met_no_earlier_agent(
+    /// heartbeat. The start times on the wall clock decide, with the sequence number of the first
+    /// heartbeat that arrived. This is no proof: the clock may have been set between the two starts.
+    pub(super) fn seems_to_have_met_no_earlier_agent(
         &self,
         incarnation: Incarnation,
         start: Timestamp,
@@ -266,7 +280,3 @@
         remaining.saturating_sub(now.since(self.last_heartbeat_at))
     }
 }
-
-fn same_process(a: &Heartbeat, b: &Heartbeat) -> bool {
-    a.id == b.id && a.started_at_ms == b.started_at_ms
-}
--- a/arbutus-core/src/packet/backend_state.rs
+++ b/arbutus-core/src/packet/backend_state.rs
@@ -1,5 +1,7 @@
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
+use super::BackendProcess;
+
 /// A backend server's report of its own state.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -21,6 +23,17 @@
     pub started_at_ms: u64,
 }
 
+impl Heartbeat {
+    /// Returns the process that sent the heartbeat.
+    #[must_use]
+    pub fn process(&self) -> BackendProcess {
+        BackendProcess {
+            id: self.id.clone(),
+            started_at_ms: self.started_at_ms,
+        }
+    }
+}
+
 /// An agent's view of its backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendState {
--- a/arbutus-core/src/packet/flow_tracker.rs
+++ b/arbutus-core/src/packet/flow_tracker.rs
@@ -6,8 +6,8 @@
 use indexmap::IndexMap;
 
 use super::{
-    BackendMonitor, FlowId, LookupAnswer, Question, RefusalReason, RelayHeader, ResetCause,
-    Segment, TrackerAction, TrackerDropReason,
+    BackendMonitor, EarlierListing, FlowId, LookupAnswer, Question, RefusalReason, RelayHeader,
+    ResetCause, Segment, TrackerAction, TrackerDropReason,
     balancer_links::BalancerLinks,
     eviction,
     flow_table::FlowTable,
@@ -62,6 +62,8 @@
     stopping: bool,
     /// When the process started.
     started_at: Timestamp,
+    /// What the store says about the agent's process before this one.
+    earlier_listing: EarlierListing,
     /// Whether a flow has been evicted from the full flow table.
     evicted_flows: bool,
     config: ConfigVersion,
@@ -105,6 +107,7 @@
             sequence: 0,
             stopping: false,
             started_at: now,
+            earlier_listing: EarlierListing::Unknown,
             evicted_flows: false,
             config: ConfigVersion::NONE,
             config_source: None,
@@ -311,9 +314,24 @@
     #[must_use]
     pub fn tracks_all_flows(&self) -> bool {
         !self.evicted_flows
+            && (self.backend.has_met_earlier_process() || self.is_first_agent_of_backend())
+    }
+
+    /// Returns whether no earlier process of the agent has served the backend server.
+    ///
+    /// Each process records in the store which process of the backend server it serves. The clocks
+    /// must agree, because an earlier process may have been unable to reach the store.
+    fn is_first_agent_of_backend(&self) -> bool {
+        let process = self.backend.process();
+        process.is_some_and(|it| self.earlier_listing.excludes(&it))
             && self
                 .backend
-                .has_met_no_earlier_agent(self.settings.incarnation, self.started_at)
+                .seems_to_have_met_no_earlier_agent(self.settings.incarnation, self.started_at)
+    }
+
+    /// Records what the store says about the agent's process before this one.
+    pub fn on_earlier_listing(&mut self, earlier: EarlierListing) {
+        self.earlier_listing = earlier;
     }
 
     fn record_delivery(&mut self, header: RelayHeader, flow: FlowId, now: Timestamp) {
--- a/arbutus-core/tests/packet/fixture.rs
+++ b/arbutus-core/tests/packet/fixture.rs
@@ -4,9 +4,9 @@
     config::ConfigVersion,
     ident::{Incarnation, ServiceTag},
     packet::{
-        AgentListing, AgentReport, AgentStatus, FlowId, FlowTracker, Heartbeat, PacketConfig,
-        PacketRoute, RelayHeader, RouteTarget, Segment, SegmentFlags, Steering, SteeringSettings,
-        TrackerSettings,
+        AgentListing, AgentReport, AgentStatus, EarlierListing, FlowId, FlowTracker, Heartbeat,
+        PacketConfig, PacketRoute, RelayHeader, RouteTarget, Segment, SegmentFlags, Steering,
+        SteeringSettings, TrackerSettings,
     },
     time::Timestamp,
 };
@@ -139,7 +139,8 @@
     }
 }
 
-/// Returns the tracker of an agent that started at `now`, at `incarnation` ms on the wall clock.
+/// Returns the tracker of an agent that started at `now`, at `incarnation` ms on the wall clock, and
+/// is the first one at its address that the store knows of.
 pub fn tracker(index: usize, incarnation: u64, now: Timestamp) -> FlowTracker {
     let settings = TrackerSettings {
         agent: agent(index),
@@ -150,7 +151,9 @@
         heartbeat_interval: HEARTBEAT_INTERVAL,
         flow_idle_timeout: Duration::from_secs(60),
     };
-    FlowTracker::new(settings, now)
+    let mut tracker = FlowTracker::new(settings, now);
+    tracker.on_earlier_listing(EarlierListing::Absent);
+    tracker
 }
 
 /// Returns a heartbeat of a backend server that started at `started_at_ms` on the wall clock.
--- a/arbutus-core/tests/packet/random_runs.rs
+++ b/arbutus-core/tests/packet/random_runs.rs
@@ -109,6 +109,48 @@
     ms + down
 }
 
+/// Simulates agents that are restarted while the wall clocks of their VMs jump. Backend servers start
+/// before, during and after the jumps.
+fn run_with_clock_jumps(seed: u64) -> World {
+    let mut world = World::new(seed, BALANCERS, AGENTS);
+    world.check_all_flows();
+    world.run_until(at(1_000));
+    let mut number = 0;
+    let mut ms = 1_000;
+    for _ in 0..12 {
+        let agents = world.agent_count();
+        let ahead = 500 + world.random(4_000);
+        let agent = if agents < 3 * AGENTS && world.random(2) == 0 {
+            world.add_backend_with_clock_ahead(ahead)
+        } else {
+            let agent = random_index(&mut world, agents);
+            world.set_clock_ahead(agent, ahead);
+            agent
+        };
+        ms += 200 + world.random(400);
+        world.run_until(at(ms));
+        for _ in 0..6 {
+            number += 1;
+            let requests = 1 + world.random(12);
+            world.open_flow(number, u32::try_from(requests).expect("a small number"));
+        }
+        ms += 100 + world.random(600);
+        world.run_until(at(ms));
+        world.set_clock_ahead(agent, 0);
+        world.kill_agent(agent);
+        ms += 200 + world.random(800);
+        world.run_until(at(ms));
+        world.start_agent(agent);
+        let balancer = random_index(&mut world, BALANCERS);
+        world.kill_balancer(balancer);
+        ms += 300 + world.random(1_500);
+        world.run_until(at(ms));
+        world.start_balancer(balancer);
+    }
+    recover(&mut world, ms);
+    world
+}
+
 fn inject_fault(world: &mut World) {
     let balancer = random_index(world, BALANCERS);
     let agents = world.agent_count();
@@ -188,6 +230,17 @@
         prop_assert!(world.checked_windows > 0);
     }
 
+    /// Guards against an agent that takes itself for older than its backend server because the wall
+    /// clock was set back in between, and denies the flows of the agent before it.
+    #[test]
+    fn open_flows_keep_their_owner_while_clocks_jump_and_agents_restart(seed in any::<u64>()) {
+        let world = run_with_clock_jumps(seed);
+        for caller in world.callers.values() {
+            prop_assert!(caller.is_over(), "flow {} never ended", caller.number);
+        }
+        prop_assert!(world.checked_windows > 0);
+    }
+
     #[test]
     fn all_flows_are_served_while_balancers_restart_as_planned(seed in any::<u64>()) {
         let mut world = World::new(seed, BALANCERS, AGENTS);
@@ -245,3 +298,9 @@
 fn a_flow_of_an_agent_that_only_the_seeds_know_is_not_reset() {
     run_with_faults(5_182_869_960_833_758_880);
 }
+
+/// Guards against trial packets that reach other backend servers only.
+#[test]
+fn a_flow_that_agents_of_unknown_tables_try_reaches_its_own_in_time() {
+    run_with_faults(6_958_128_055_189_846_316);
+}
--- a/arbutus-core/tests/packet/tracker_cases.rs
+++ b/arbutus-core/tests/packet/tracker_cases.rs
@@ -1,6 +1,7 @@
 use arbutus_core::packet::{
-    AgentStatus, FlowId, FlowTracker, HeartbeatOutcome, LookupAnswer, Question, RefusalReason,
-    ResetCause, Segment, SegmentFlags, TrackerAction, TrackerDropReason,
+    AgentStatus, BackendProcess, EarlierListing, FlowId, FlowTracker, HeartbeatOutcome,
+    LookupAnswer, Question, RefusalReason, ResetCause, Segment, SegmentFlags, TrackerAction,
+    TrackerDropReason,
 };
 use arbutus_core::time::Timestamp;
 use rstest::rstest;
@@ -343,6 +344,63 @@
     assert_eq!(answer, start.answer, "{start:?}");
 }
 
+#[derive(Debug)]
+struct Predecessor {
+    earlier: EarlierListing,
+    answer: LookupAnswer,
+}
+
+fn process(started_at_ms: u64) -> BackendProcess {
+    heartbeat(0, 1, started_at_ms).process()
+}
+
+/// Guards against an agent that denies flows which the agent before it delivered: the wall clock
+/// was set back between the start of the backend server and that of the agent.
+///
+/// By the clock the agent started 1,000 ms before its backend server in each case.
+#[rstest]
+#[case::no_answer_of_the_store(
+    Predecessor { earlier: EarlierListing::Unknown, answer: LookupAnswer::Unknown }
+)]
+#[case::none(Predecessor { earlier: EarlierListing::Absent, answer: LookupAnswer::NotOwned })]
+#[case::of_the_same_backend_server(Predecessor {
+    earlier: EarlierListing::Served(Some(process(10_000))),
+    answer: LookupAnswer::Unknown,
+})]
+#[case::of_the_backend_server_before(Predecessor {
+    earlier: EarlierListing::Served(Some(process(4_000))),
+    answer: LookupAnswer::NotOwned,
+})]
+#[case::of_an_unknown_backend_server(Predecessor {
+    earlier: EarlierListing::Served(None),
+    answer: LookupAnswer::Unknown,
+})]
+fn an_agent_denies_no_flow_that_the_agent_before_it_may_have_delivered(#[case] case: Predecessor) {
+    let mut tracker = tracker(0, 9_000, at(0));
+    tracker.on_earlier_listing(case.earlier.clone());
+    tracker.on_heartbeat(heartbeat(0, 2, 10_000), at(500));
+    let answer = query(&mut tracker, 1, 900, at(501));
+    assert_eq!(answer, case.answer, "{case:?}");
+    let confirmed = header(&[0]).owner_confirmed(true);
+    let action = tracker.on_relayed(confirmed, &request(1, 900), at(502));
+    let reset = matches!(action, TrackerAction::Reset { .. });
+    assert_eq!(reset, case.answer == LookupAnswer::NotOwned, "{case:?}");
+}
+
+#[test]
+fn an_agent_denies_unknown_flows_of_a_backend_server_that_started_again_beside_it() {
+    let mut tracker = tracker(0, 9_000, at(0));
+    tracker.on_earlier_listing(EarlierListing::Served(Some(process(4_000))));
+    tracker.on_heartbeat(heartbeat(0, 40, 4_000), at(500));
+    assert_eq!(query(&mut tracker, 1, 900, at(501)), LookupAnswer::Unknown);
+    // The clock stood ahead when the backend server started again, so the times tell nothing.
+    tracker.on_heartbeat(heartbeat(0, 9, 5_000), at(9_000));
+    assert_eq!(
+        query(&mut tracker, 1, 900, at(9_001)),
+        LookupAnswer::NotOwned
+    );
+}
+
 #[test]
 fn a_wall_clock_that_was_set_back_does_not_make_a_flow_table_complete() {
     // By the clock the agent started first, but the sequence number shows that it did not.
--- a/arbutus-core/tests/packet/world.rs
+++ b/arbutus-core/tests/packet/world.rs
@@ -10,7 +10,7 @@
 use std::{net::SocketAddrV4, time::Duration};
 
 use arbutus_core::{
-    packet::{AgentListing, FlowId, FlowTracker, Segment, Steering},
+    packet::{AgentListing, BackendProcess, FlowId, FlowTracker, Segment, Steering},
     time::Timestamp,
 };
 use indexmap::IndexMap;
@@ -90,6 +90,12 @@
     started_at: Timestamp,
     /// When the listing in the store expires.
     listed_until: Option<Timestamp>,
+    /// The process of the backend server that the listing in the store names.
+    listed_process: Option<BackendProcess>,
+    /// Whether this process of the agent has read the listing of the one before.
+    has_read_listing: bool,
+    /// How far the wall clock of the VM is ahead, in milliseconds.
+    clock_ahead_ms: u64,
     listing: Option<AgentListing>,
     reaches_store: bool,
 }
@@ -198,8 +204,9 @@
         self.loss_percent = percent;
     }
 
-    fn wall_ms(&self) -> u64 {
-        1_000_000 + self.now.as_millis()
+    /// Returns the time on the wall clock of an agent's VM.
+    fn wall_ms(&self, agent: usize) -> u64 {
+        1_000_000 + self.now.as_millis() + self.agents[agent].clock_ahead_ms
     }
 
     fn schedule(&mut self, after: Duration, event: Event) {
--- a/arbutus-core/tests/packet/world/agents.rs
+++ b/arbutus-core/tests/packet/world/agents.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use arbutus_core::packet::{AgentStatus, Message, Segment, TrackerAction};
+use arbutus_core::packet::{AgentStatus, EarlierListing, Message, Segment, TrackerAction};
 
 use super::{
     super::{fixture, model_backend::Response},
@@ -43,7 +43,16 @@
             AgentStatus::Ended | AgentStatus::Waiting
         );
         if wanted && agent.reaches_store {
+            if !agent.has_read_listing {
+                agent.has_read_listing = true;
+                tracker.on_earlier_listing(if was_listed {
+                    EarlierListing::Served(agent.listed_process.take())
+                } else {
+                    EarlierListing::Absent
+                });
+            }
             agent.listed_until = Some(now + LISTING_TTL);
+            agent.listed_process = tracker.backend().process();
         }
         if wanted && agent.reaches_store && !was_listed {
             self.notify_listings();
--- a/arbutus-core/tests/packet/world/faults.rs
+++ b/arbutus-core/tests/packet/world/faults.rs
@@ -4,7 +4,7 @@
 
 use arbutus_core::{
     ident::{Incarnation, ServiceTag},
-    packet::{AgentListing, Steering, SteeringSettings},
+    packet::{AgentListing, EarlierListing, Steering, SteeringSettings},
 };
 use rand::Rng;
 
@@ -69,6 +69,11 @@
     }
 
     pub fn add_backend(&mut self) -> usize {
+        self.add_backend_with_clock_ahead(0)
+    }
+
+    /// Adds a VM with a backend server and its agent. Its wall clock is ahead.
+    pub fn add_backend_with_clock_ahead(&mut self, clock_ahead_ms: u64) -> usize {
         let index = self.agents.len();
         self.agents.push(Agent {
             tracker: None,
@@ -76,12 +81,15 @@
             generation: 0,
             started_at: self.now,
             listed_until: None,
+            listed_process: None,
+            has_read_listing: false,
+            clock_ahead_ms,
             listing: None,
             reaches_store: true,
         });
         self.start_agent(index);
         let start = self.rng.random();
-        let started_at_ms = self.wall_ms() + 1;
+        let started_at_ms = self.wall_ms(index) + 1;
         let backend = ModelBackend::new(index, &format!("i-{index}"), started_at_ms, start);
         self.agents[index].backend = Some(backend);
         self.schedule(Duration::from_millis(5), Event::Heartbeat(index));
@@ -91,12 +99,14 @@
     pub fn start_agent(&mut self, index: usize) {
         self.record_fault(("start agent", index));
         let generation = self.next_generation();
-        let incarnation = self.wall_ms();
-        let tracker = fixture::tracker(index, incarnation, self.now);
+        let incarnation = self.wall_ms(index);
+        let mut tracker = fixture::tracker(index, incarnation, self.now);
+        tracker.on_earlier_listing(EarlierListing::Unknown);
         let agent = &mut self.agents[index];
         agent.tracker = Some(tracker);
         agent.generation = generation;
         agent.started_at = self.now;
+        agent.has_read_listing = false;
         agent.listing = Some(AgentListing {
             agent: fixture::agent(index),
             service: ServiceTag::of_name(SERVICE),
@@ -165,7 +175,7 @@
     pub fn crash_backend(&mut self, index: usize) {
         self.record_fault(("crash backend server", index));
         let start = self.rng.random();
-        let started_at_ms = self.wall_ms();
+        let started_at_ms = self.wall_ms(index);
         let agent = &mut self.agents[index];
         if agent.backend.is_some() {
             agent.backend = Some(ModelBackend::new(
@@ -178,6 +188,12 @@
         }
     }
 
+    /// Sets how far the wall clock of an agent's VM is ahead.
+    pub fn set_clock_ahead(&mut self, index: usize, ms: u64) {
+        self.record_fault(("clock ahead", index, ms));
+        self.agents[index].clock_ahead_ms = ms;
+    }
+
     pub fn has_backend(&self, index: usize) -> bool {
         self.agents[index].backend.is_some()
     }
--- a/arbutus-io/src/packet/agent/backend_events.rs
+++ b/arbutus-io/src/packet/agent/backend_events.rs
@@ -1,4 +1,4 @@
-use arbutus_core::packet::{Heartbeat, HeartbeatOutcome, Segment, TrackerAction};
+use arbutus_core::packet::{EarlierListing, Heartbeat, HeartbeatOutcome, Segment, TrackerAction};
 
 use super::PacketAgent;
 use crate::{clock, metrics::ReasonLabel, packet::PacketCodec};
@@ -49,6 +49,16 @@
         ours
     }
 
+    /// Records what the store says about the agent's process before this one.
+    pub fn on_earlier_listing(&self, earlier: EarlierListing) {
+        tracing::info!(?earlier, "earlier_listing_read");
+        let mut state = self.state.lock();
+        state.tracker.on_earlier_listing(earlier);
+        let knows_all_flows = state.tracker.tracks_all_flows();
+        drop(state);
+        tracing::info!(knows_all_flows, "flow_table_assessed");
+    }
+
     /// Resets all open flows at their callers after the backend server has ended.
     pub fn reset_open_flows(&self) {
         let resets = self.state.lock().tracker.reset_all_flows();
