--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -90,7 +90,7 @@
 
     /// The minimum time between two checks of the agents that the store lists. One check serves all
     /// lookups that wait for it.
-    const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+    const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
     /// The maximum number of agents in an answer about agents that the store does not list. One
     /// datagram has room for them.
