fix(core): an agent that has reported its end and is listed again is asked before a reset

What callers would see: a reset of an open flow of a backend server that started again beside its agent, by a balancer that has heard of the end of the process before and not of the start. Now an agent with such a report is asked if the store lists it, by the answer to a call made after the caller's packet: the agent removes its listing at the end and writes it again at the start. One that is not listed is left out as before, so that agents of VMs that have gone hold no search up.

Test: an_agent_that_has_reported_its_end_is_queried_if_the_store_lists_it, case listed_again, failed before (Reset, denied by 2) and passes.

--- a/arbutus-core/src/packet/steering/lookups.rs
+++ b/arbutus-core/src/packet/steering/lookups.rs
@@ -7,6 +7,7 @@
         SteeringDecision, SteeringDropReason,
         lookup::Lookup,
         lookup_state::{LookupState, LookupTimeout},
+        member::Member,
         placement::Placement,
         query_outbox::QueryLane,
     },
@@ -193,17 +194,17 @@
     fn conclude(&mut self, flow: &FlowId, now: Timestamp) -> Option<LookupStep> {
         let lookup = self.lookups.get(flow).filter(|it| it.exhaustive)?;
         let segment = lookup.last_segment;
-        let newcomers: Vec<_> = self.owners_outside(lookup).collect();
+        let view_age = self
+            .view
+            .age_if_complete_for(lookup.started_at(), now)
+            .filter(|_| self.seeds.is_known_for(lookup.started_at()));
+        let newcomers: Vec<_> = self.owners_outside(lookup, view_age.is_some()).collect();
         if !newcomers.is_empty() {
             self.lookups.get_mut(flow)?.extend(&newcomers);
             self.query(&newcomers, &segment, now);
             return Some(LookupStep::Query(newcomers));
         }
-        let view_age = self
-            .view
-            .age_if_complete_for(lookup.started_at(), now)
-            .filter(|_| self.seeds.is_known_for(lookup.started_at()))
-            .filter(|_| segment.expects_answer())?;
+        let view_age = view_age.filter(|_| segment.expects_answer())?;
         let step = LookupStep::Reset {
             flow: *flow,
             acknowledged: segment.acknowledged,
@@ -216,8 +217,16 @@
     }
 
     /// Returns the agents in the view that may own the flow of `lookup` and are not part of it.
-    fn owners_outside<'a>(&'a self, lookup: &'a Lookup) -> impl Iterator<Item = SocketAddrV4> + 'a {
-        let owners = self.members.iter().filter(|it| it.may_own_flows());
+    ///
+    /// An agent that has reported its end removes its listing. One that is listed all the same, by a
+    /// view that is recent, serves another process of its backend server.
+    fn owners_outside<'a>(
+        &'a self,
+        lookup: &'a Lookup,
+        view_is_recent: bool,
+    ) -> impl Iterator<Item = SocketAddrV4> + 'a {
+        let may_own = move |it: &&Member| it.may_own_flows() || (view_is_recent && it.listed);
+        let owners = self.members.iter().filter(may_own);
         owners.map(|it| it.agent).filter(|it| !lookup.includes(*it))
     }
 
--- a/arbutus-core/tests/packet/lookup_cases.rs
+++ b/arbutus-core/tests/packet/lookup_cases.rs
@@ -1,12 +1,13 @@
 use std::time::Duration;
 
 use arbutus_core::packet::{
-    FlowId, LookupAnswer, LookupStep, RelayHeader, Steering, SteeringDecision,
+    AgentStatus, FlowId, LookupAnswer, LookupStep, RelayHeader, Steering, SteeringDecision,
 };
+use rstest::rstest;
 
 use super::fixture::{
-    OTHER_SERVICE, PACKET, SERVICE, agent, at, flow, listing, opening, report_agents, request,
-    steering_with_agents,
+    OTHER_SERVICE, PACKET, SERVICE, agent, at, flow, listing, opening, report, report_agents,
+    request, steering_with_agents,
 };
 
 /// Returns the steps with their agents sorted by address. They are in rendezvous order otherwise.
@@ -147,6 +148,33 @@
     );
 }
 
+struct EndedAgent {
+    /// Whether the store lists the agent when it is asked.
+    listed: bool,
+    queried: bool,
+}
+
+/// Guards against the reset of a flow of a backend server that has started again beside its agent:
+/// the balancer had heard of the end of the process before, and not yet of the start.
+#[rstest]
+#[case::listed_again(EndedAgent { listed: true, queried: true })]
+#[case::no_longer_listed(EndedAgent { listed: false, queried: false })]
+fn an_agent_that_has_reported_its_end_is_queried_if_the_store_lists_it(#[case] case: EndedAgent) {
+    let mut steering = steering_with_agents(3);
+    report_agents(&mut steering, 3, None, 3_400);
+    steering.on_report(report(2, 3_450, AgentStatus::Ended, 0), at(3_450));
+    steering.on_packet(&request(1, 900), PACKET, at(3_500));
+    assert_eq!(deny_from_all(&mut steering, 2, 3_501), LookupStep::Wait);
+    steering.on_unlisted(agent(2));
+    if case.listed {
+        steering.on_listed(&listing(2, SERVICE, 1), at(3_508));
+    }
+    let step = confirm_view(&mut steering, 3_501, 3_508);
+    let queried = step == LookupStep::Query(vec![agent(2)]);
+    let reset = matches!(step, LookupStep::Reset { denied: 2, .. });
+    assert_eq!((queried, reset), (case.queried, !case.queried), "{step:?}");
+}
+
 #[test]
 fn a_lookup_is_abandoned_when_the_store_does_not_tell_which_agents_it_lists() {
     let mut steering = steering_with_agents(3);
