fix(core): the end of a backend server resets its own flows only, once it has ended

Hypotheses: the new process turned packets away (it did not), balancers took the flows for gone (the resets are the agent's), the agent reset them with the old ones: all at one moment, cause backend-ended, after backend_server_changed.

Cause: a timer stood for the exit, and every flow in the table for a flow of the process that ended. Now the agent checks that nothing listens at the address any more, or hears the next process, and resets the flows that were seen before the goodbye; no flow is admitted from there until the next process is heard.

Test: flows_of_a_backend_server_that_started_again_outlive_those_of_the_process_before failed before (two resets instead of at most one). Changed check: on_backend_left takes the time, and the flows are named by it.

--- a/arbutus-core/src/packet/backend_monitor.rs
+++ b/arbutus-core/src/packet/backend_monitor.rs
@@ -23,6 +23,32 @@
     at: Timestamp,
 }
 
+/// What an agent knows of a process of its backend server that has been replaced.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Predecessor {
+    /// When the last heartbeat of the process arrived.
+    pub(super) last_heartbeat_at: Timestamp,
+    /// When the process reported that it ends, if it did.
+    pub(super) left_at: Option<Timestamp>,
+}
+
+impl Predecessor {
+    /// How long before the last heartbeat of a process the agent must have seen the first packet of a
+    /// flow to attribute the flow to that process. The arrival time of a heartbeat is not exact:
+    /// heartbeats queue up in a process that is frozen.
+    const MARGIN: Duration = Duration::from_secs(1);
+
+    /// Returns whether a flow whose first packet was seen at `first_seen_at` certainly belonged to
+    /// this process. After a report of its end no flow is admitted until the next process is heard.
+    pub(super) fn certainly_opened(&self, first_seen_at: Timestamp) -> bool {
+        let seen_before_last_heartbeat = self.last_heartbeat_at.since(first_seen_at);
+        self.left_at
+            .map_or(seen_before_last_heartbeat >= Self::MARGIN, |left_at| {
+                first_seen_at <= left_at
+            })
+    }
+}
+
 /// The state machine that tracks the state of an agent's backend server.
 #[derive(Debug)]
 pub struct BackendMonitor {
@@ -36,10 +62,10 @@
     first_heartbeat: Option<FirstHeartbeat>,
     /// Whether a heartbeat of a process before the present one has arrived.
     has_met_earlier_process: bool,
-    /// When the last heartbeat of the process before the present one arrived, until that is taken.
-    predecessor_last_heartbeat_at: Option<Timestamp>,
-    /// Whether the sender of `last_heartbeat` has reported that it ends.
-    left: bool,
+    /// The process before the present one, until it is taken.
+    predecessor: Option<Predecessor>,
+    /// When the sender of `last_heartbeat` reported that it ends.
+    left_at: Option<Timestamp>,
     /// When the oldest opening segment was delivered that the backend server has not answered.
     unanswered_since: Option<Timestamp>,
     /// When the last opening segment was delivered to the backend server.
@@ -79,8 +105,8 @@
             last_heartbeat_at: Timestamp::ZERO,
             first_heartbeat: None,
             has_met_earlier_process: false,
-            predecessor_last_heartbeat_at: None,
-            left: false,
+            predecessor: None,
+            left_at: None,
             unanswered_since: None,
             last_opening_at: Timestamp::ZERO,
             failed_at: None,
@@ -100,8 +126,10 @@
         let same_process = self.process().is_some_and(|it| it == process);
         if !same_process {
             self.has_met_earlier_process = self.last_heartbeat.is_some();
-            self.predecessor_last_heartbeat_at =
-                self.last_heartbeat.as_ref().map(|_| self.last_heartbeat_at);
+            self.predecessor = self.last_heartbeat.as_ref().map(|_| Predecessor {
+                last_heartbeat_at: self.last_heartbeat_at,
+                left_at: self.left_at,
+            });
             self.failed_at = None;
             self.first_heartbeat = Some(FirstHeartbeat {
                 sequence: heartbeat.sequence,
@@ -110,7 +138,7 @@
         }
         self.last_heartbeat = Some(heartbeat);
         self.last_heartbeat_at = now;
-        self.left = false;
+        self.left_at = None;
         if same_process && before == self.state(now) {
             HeartbeatOutcome::Same
         } else {
@@ -123,7 +151,7 @@
             return false;
         };
         if last.process() == heartbeat.process() {
-            return self.left || heartbeat.sequence <= last.sequence;
+            return self.left_at.is_some() || heartbeat.sequence <= last.sequence;
         }
         // If the last process is silent, the wall clock may have been set back between the two
         // starts.
@@ -131,22 +159,27 @@
         heartbeat.started_at_ms < last.started_at_ms && is_alive
     }
 
-    /// Returns when the last heartbeat of the process before the present one arrived, once for each
-    /// change of the process.
-    pub(super) const fn take_predecessor_last_heartbeat_at(&mut self) -> Option<Timestamp> {
-        self.predecessor_last_heartbeat_at.take()
+    /// Returns the process before the present one, once for each change of the process.
+    pub(super) const fn take_predecessor(&mut self) -> Option<Predecessor> {
+        self.predecessor.take()
     }
 
     /// Records that the backend server with the identifier `id` ends, and returns `false` if it is
     /// not the present one.
-    pub fn on_backend_left(&mut self, id: &str) -> bool {
+    pub fn on_backend_left(&mut self, id: &str, now: Timestamp) -> bool {
         let ours = self.last_heartbeat.as_ref().is_some_and(|it| *it.id == *id);
         if ours {
-            self.left = true;
+            self.left_at.get_or_insert(now);
         }
         ours
     }
 
+    /// Returns when the backend server reported that it ends, if its present process did.
+    #[must_use]
+    pub const fn left_at(&self) -> Option<Timestamp> {
+        self.left_at
+    }
+
     /// Records that an opening segment is delivered to the backend server.
     pub fn record_opening(&mut self, now: Timestamp) {
         self.unanswered_since.get_or_insert(now);
@@ -188,7 +221,7 @@
         let Some(last) = &self.last_heartbeat else {
             return BackendState::Unheard;
         };
-        if self.left {
+        if self.left_at.is_some() {
             return BackendState::Left;
         }
         if last.draining {
--- a/arbutus-core/src/packet/flow_tracker/reporting.rs
+++ b/arbutus-core/src/packet/flow_tracker/reporting.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddrV4, time::Duration};
+use std::net::SocketAddrV4;
 
 use indexmap::IndexMap;
 
@@ -13,11 +13,6 @@
 
 /// Monitoring of the backend server and reports to balancers.
 impl FlowTracker {
-    /// How long before the last heartbeat of a backend server the agent must have seen the first
-    /// packet of a flow to attribute the flow to that backend server. The arrival time of a
-    /// heartbeat is not exact: heartbeats queue up in a process that is frozen.
-    const PREDECESSOR_MARGIN: Duration = Duration::from_secs(1);
-
     /// Records a heartbeat of the backend server.
     pub fn on_heartbeat(&mut self, heartbeat: Heartbeat, now: Timestamp) -> HeartbeatOutcome {
         let outcome = self.backend.on_heartbeat(heartbeat, now);
@@ -30,17 +25,22 @@
     /// Records that the backend server with the identifier `id` ends, and returns `false` if it is
     /// not the present one.
     pub fn on_backend_left(&mut self, id: &str, now: Timestamp) -> bool {
-        let ours = self.backend.on_backend_left(id);
+        let ours = self.backend.on_backend_left(id, now);
         if ours {
             self.links.mark_all_pending(now);
         }
         ours
     }
 
-    /// Removes all flows after the end of the backend server, and returns a reset for each open one
-    /// so that callers do not have to wait for a timeout.
-    pub fn reset_all_flows(&mut self) -> Vec<TrackerAction> {
-        reset_actions(self.flows.take(|_| true), ResetCause::BackendEnded)
+    /// Removes the flows of a process of the backend server that reported at `left_at` that it ends,
+    /// and has ended. Returns a reset for each open one so that callers do not have to wait for a
+    /// timeout.
+    ///
+    /// From its report until the next process is heard no flow is admitted, so any flow that was seen
+    /// later belongs to the next process.
+    pub fn reset_flows_until(&mut self, left_at: Timestamp) -> Vec<TrackerAction> {
+        let before = |it: &TrackedFlow| it.first_seen_at <= left_at;
+        reset_actions(self.flows.take(before), ResetCause::BackendEnded)
     }
 
     /// Removes the flows that certainly belonged to the process before the present backend server,
@@ -49,12 +49,10 @@
     /// Flows that opened around the last heartbeat of the old process may belong to the new one.
     /// They are reset when the backend server rejects their packets.
     pub fn reset_predecessor_flows(&mut self) -> Vec<TrackerAction> {
-        let Some(last_heartbeat_at) = self.backend.take_predecessor_last_heartbeat_at() else {
+        let Some(predecessor) = self.backend.take_predecessor() else {
             return Vec::new();
         };
-        let before = |tracked: &TrackedFlow| {
-            last_heartbeat_at.since(tracked.first_seen_at) >= Self::PREDECESSOR_MARGIN
-        };
+        let before = |it: &TrackedFlow| predecessor.certainly_opened(it.first_seen_at);
         reset_actions(self.flows.take(before), ResetCause::BackendReplaced)
     }
 
--- a/arbutus-core/tests/packet/backend_monitor.rs
+++ b/arbutus-core/tests/packet/backend_monitor.rs
@@ -90,8 +90,8 @@
 fn a_late_heartbeat_does_not_restore_a_backend_server_that_has_left() {
     let mut monitor = monitor();
     monitor.on_heartbeat(heartbeat(0, 5, 1_000), at(0));
-    assert!(!monitor.on_backend_left("i-2"));
-    assert!(monitor.on_backend_left("i-1"));
+    assert!(!monitor.on_backend_left("i-2", at(5)));
+    assert!(monitor.on_backend_left("i-1", at(5)));
     assert_eq!(
         monitor.on_heartbeat(heartbeat(0, 6, 1_000), at(10)),
         HeartbeatOutcome::Late
--- a/arbutus-core/tests/packet/tracker_cases.rs
+++ b/arbutus-core/tests/packet/tracker_cases.rs
@@ -486,7 +486,28 @@
         acknowledged: 501,
         cause: ResetCause::BackendEnded,
     };
-    assert_eq!(tracker.reset_all_flows(), [expected]);
+    assert_eq!(tracker.reset_flows_until(at(10)), [expected]);
+}
+
+/// Guards against the reset of flows that a backend server opened after it had started again under
+/// its identifier, together with those of the process before.
+#[test]
+fn flows_of_a_backend_server_that_started_again_outlive_those_of_the_process_before() {
+    let mut tracker = ready_tracker();
+    open(&mut tracker, 1);
+    tracker.on_backend_left("i-1", at(10));
+    tracker.on_heartbeat(heartbeat(0, 1, 2_000), at(70));
+    let expected = TrackerAction::Reset {
+        flow: flow(1),
+        acknowledged: 501,
+        cause: ResetCause::BackendReplaced,
+    };
+    assert_eq!(tracker.reset_predecessor_flows(), [expected]);
+    tracker.on_relayed(header(&[0]), &opening(2, 0), at(80));
+    tracker.on_backend_packet(&accepting(2, 700), at(81));
+    tracker.on_relayed(header(&[0]), &request(2, 701), at(87));
+    assert_eq!(tracker.reset_flows_until(at(10)), []);
+    assert_eq!(query(&mut tracker, 2, 900, at(300)), LookupAnswer::Owned);
 }
 
 #[test]
--- a/arbutus-core/tests/packet/world.rs
+++ b/arbutus-core/tests/packet/world.rs
@@ -63,8 +63,8 @@
     QueriesDue(usize, u64),
     AgentTick(usize, u64),
     Heartbeat(usize),
-    /// An agent resets the flows of its backend server, which has left.
-    ResetFlows(usize, u64),
+    /// An agent resets the flows of its backend server, which has left at this time.
+    ResetFlows(usize, u64, Timestamp),
     /// A balancer receives the listings of the store.
     Listings(usize, u64),
     Introduce(usize, u64),
@@ -279,7 +279,9 @@
                     self.schedule(fixture::HEARTBEAT_INTERVAL, Event::Heartbeat(index));
                 }
             }
-            Event::ResetFlows(index, generation) => self.reset_flows(index, generation),
+            Event::ResetFlows(index, generation, left_at) => {
+                self.reset_flows(index, generation, left_at);
+            }
             Event::Listings(index, generation) => self.deliver_listings(index, generation),
             Event::Introduce(index, generation) => self.introduce(index, generation),
             Event::PollPeers(index, generation) => self.poll_peers(index, generation),
--- a/arbutus-core/tests/packet/world/agents.rs
+++ b/arbutus-core/tests/packet/world/agents.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddrV4;
 
-use arbutus_core::packet::{AgentStatus, EarlierListing, Message, Segment, TrackerAction};
+use arbutus_core::{
+    packet::{AgentStatus, EarlierListing, Message, Segment, TrackerAction},
+    time::Timestamp,
+};
 
 use super::{
     super::{fixture, model_backend::Response},
@@ -219,7 +222,7 @@
         }
     }
 
-    pub(super) fn reset_flows(&mut self, index: usize, generation: u64) {
+    pub(super) fn reset_flows(&mut self, index: usize, generation: u64, left_at: Timestamp) {
         let agent = &mut self.agents[index];
         let Some(tracker) = agent
             .tracker
@@ -228,7 +231,7 @@
         else {
             return;
         };
-        for action in tracker.reset_all_flows() {
+        for action in tracker.reset_flows_until(left_at) {
             if let TrackerAction::Reset { flow, .. } = action {
                 self.send_reset(flow);
             }
--- a/arbutus-core/tests/packet/world/faults.rs
+++ b/arbutus-core/tests/packet/world/faults.rs
@@ -166,7 +166,7 @@
         }
         self.schedule(
             Duration::from_millis(250),
-            Event::ResetFlows(index, generation),
+            Event::ResetFlows(index, generation, now),
         );
         self.notify_listings();
     }
--- a/arbutus-io/src/packet/agent/backend_events.rs
+++ b/arbutus-io/src/packet/agent/backend_events.rs
@@ -1,10 +1,22 @@
-use arbutus_core::packet::{EarlierListing, Heartbeat, HeartbeatOutcome, Segment, TrackerAction};
+use std::{io, time::Duration};
+
+use arbutus_core::{
+    packet::{EarlierListing, Heartbeat, HeartbeatOutcome, Segment, TrackerAction},
+    time::Timestamp,
+};
+use tokio::{net::TcpStream, time};
 
 use super::PacketAgent;
 use crate::{clock, metrics::ReasonLabel, packet::PacketCodec};
 
 /// What the backend server tells its agent about itself.
 impl<C: PacketCodec> PacketAgent<C> {
+    /// Time between two checks whether a backend server that has reported its end has ended.
+    const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+    /// Maximum number of these checks.
+    const MAX_EXIT_CHECKS: u32 = 20;
+
     /// Processes a heartbeat of the backend server.
     pub fn on_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatOutcome {
         let now = clock::now();
@@ -39,14 +51,17 @@
         outcome
     }
 
-    /// Records that the backend server with the identifier `id` ends, and returns whether it is
-    /// the agent's own backend server.
-    pub fn on_backend_left(&self, id: &str) -> bool {
+    /// Records that the backend server with the identifier `id` ends. Returns when it first reported
+    /// that, if it is the agent's own backend server.
+    pub fn on_backend_left(&self, id: &str) -> Option<Timestamp> {
         let now = clock::now();
-        let ours = self.state.lock().tracker.on_backend_left(id, now);
+        let mut state = self.state.lock();
+        let ours = state.tracker.on_backend_left(id, now);
+        let left_at = state.tracker.backend().left_at().filter(|_| ours);
+        drop(state);
         tracing::info!(id, ours, "backend_server_left");
         self.send_reports(now);
-        ours
+        left_at
     }
 
     /// Records what the store says about the agent's process before this one.
@@ -59,10 +74,30 @@
         tracing::info!(knows_all_flows, "flow_table_assessed");
     }
 
-    /// Resets all open flows at their callers after the backend server has ended.
-    pub fn reset_open_flows(&self) {
-        let resets = self.state.lock().tracker.reset_all_flows();
-        self.execute_resets(resets);
+    /// Waits until the process of the backend server that reported its end at `left_at` has ended, and
+    /// resets its open flows at their callers.
+    ///
+    /// A process that has ended does not listen any more. If another one listens at its address by
+    /// then, its first heartbeat has the flows reset.
+    pub async fn reset_flows_after_exit(&self, left_at: Timestamp) {
+        for _ in 0..Self::MAX_EXIT_CHECKS {
+            time::sleep(Self::EXIT_CHECK_INTERVAL).await;
+            if self.is_backend_address_closed().await {
+                let resets = self.state.lock().tracker.reset_flows_until(left_at);
+                self.execute_resets(resets);
+                return;
+            }
+        }
+        tracing::info!("backend_server_still_listens");
+    }
+
+    /// Returns whether no process listens at the address of the backend server.
+    async fn is_backend_address_closed(&self) -> bool {
+        let connection = TcpStream::connect(self.settings.backend);
+        match time::timeout(Self::EXIT_CHECK_INTERVAL, connection).await {
+            Ok(Err(err)) => err.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
     }
 
     fn execute_resets(&self, actions: Vec<TrackerAction>) {
