fix(core): a backend server that has said goodbye gets no copy of an opening segment

A copy followed the first opening segment to the backend server also after its goodbye. The next process at the address could take it, unheard, and its flow would be reset as one of the process before: the claim which process a flow belongs to rests on no flow being admitted in between. The copy is now refused like any new flow and goes to the next candidate.

Test: a_backend_server_that_ends_gets_no_copy_of_an_opening_segment failed before (ToBackend).

--- a/arbutus-core/src/packet/flow_tracker/openings.rs
+++ b/arbutus-core/src/packet/flow_tracker/openings.rs
@@ -23,7 +23,9 @@
         now: Timestamp,
     ) -> TrackerAction {
         let tracked = self.flows.get(&segment.flow).copied();
-        let retransmitted = tracked.filter(|it| it.ended_at.is_none());
+        // A process that ends gets no copy either: the next one at its address would take it.
+        let has_left = self.backend.left_at().is_some();
+        let retransmitted = tracked.filter(|it| it.ended_at.is_none() && !has_left);
         if retransmitted.is_none() {
             if let Some(reason) = self.refusal_reason(&header, now) {
                 return pass_on(header, segment, reason);
--- a/arbutus-core/tests/packet/tracker_cases.rs
+++ b/arbutus-core/tests/packet/tracker_cases.rs
@@ -510,6 +510,26 @@
     assert_eq!(query(&mut tracker, 2, 900, at(300)), LookupAnswer::Owned);
 }
 
+/// Guards against a copy of an opening segment that reaches the next process of a backend server:
+/// its flow would count as one of the process before.
+#[test]
+fn a_backend_server_that_ends_gets_no_copy_of_an_opening_segment() {
+    let mut tracker = ready_tracker();
+    tracker.on_relayed(header(&[0, 1]), &opening(1, 0), at(0));
+    tracker.on_backend_left("i-1", at(10));
+    let action = tracker.on_relayed(header(&[0, 1]), &opening(1, 1), at(200));
+    assert!(
+        matches!(
+            action,
+            TrackerAction::PassOn {
+                reason: RefusalReason::NotReady,
+                ..
+            }
+        ),
+        "{action:?}"
+    );
+}
+
 #[test]
 fn open_flows_of_a_restarted_backend_server_are_reset_at_its_first_heartbeat() {
     let mut tracker = ready_tracker();
