fix(core): a trial packet is not repeated before every agent has been asked

What the users' rules call a broken flow: three packets of a flow reach other backend servers within 2 s and none its own.

Cause: late answers of a stage had the trial packet sent again together with the questions to the next stage, though the owner may not have been among those that got it. Copies now wait for the last stage, where the owner is among the agents that are tried.

Tried and not kept: at most two trials before all agents have been asked. So three restarted agents nearby and an owner elsewhere that cannot be asked for 2 s remain possible (docs/PROOF.md).

--- a/arbutus-core/src/packet/lookup.rs
+++ b/arbutus-core/src/packet/lookup.rs
@@ -227,16 +227,23 @@
 
     /// Decides how a lookup with late answers continues.
     pub(super) fn on_late(&mut self, now: Timestamp) -> LookupTimeout {
-        match self.remaining_stages.pop_front() {
+        let next_stage = self.remaining_stages.pop_front();
+        let is_early = next_stage.is_some();
+        match next_stage {
             Some(next) => self.add_queried(&next),
             None if self.retries >= Self::MAX_RETRIES => return LookupTimeout::Abandon,
             None => self.retries += 1,
         }
         self.queried_at = now;
-        let (retry, query) = self
+        let (mut retry, query): (Vec<_>, Vec<_>) = self
             .unanswered_agents()
             .into_iter()
             .partition(|it| self.queried.get(it).is_some_and(|queried| queried.tried));
+        // Copies would reach other backend servers while the one that holds the flow may not have
+        // got the packet yet.
+        if is_early {
+            retry.clear();
+        }
         LookupTimeout::Retry { query, retry }
     }
 
--- a/arbutus-core/tests/packet/lookup_cases.rs
+++ b/arbutus-core/tests/packet/lookup_cases.rs
@@ -411,6 +411,29 @@
     }
 }
 
+/// Guards against a lost trial packet whose copy is the third packet of a flow at other backend
+/// servers.
+#[test]
+fn a_trial_packet_is_not_repeated_before_all_agents_have_been_queried() {
+    let mut steering = steering_with_agents(1);
+    let mut remote = listing(1, SERVICE, 1);
+    remote.failure_domain = std::sync::Arc::from("b");
+    steering.on_listed(&remote, at(0));
+    steering.on_peer_agents(&[], true, at(1));
+    steering.on_packet(&request(1, 900), PACKET, at(2));
+    steering.on_answer(agent(0), flow(1), LookupAnswer::Unknown, at(3));
+    let early = steering.expire_lookups(at(70));
+    assert_eq!(early, [(flow(1), LookupStep::Query(vec![agent(1)]))]);
+    steering.on_answer(agent(1), flow(1), LookupAnswer::NotOwned, at(75));
+    let late = steering.expire_lookups(at(260));
+    match &late[..] {
+        [(_, LookupStep::Relay { headers, .. })] => {
+            assert_eq!(headers[0].target(), Some(agent(0)));
+        }
+        other => panic!("not tried again: {other:?}"),
+    }
+}
+
 #[test]
 fn the_trial_packet_is_the_smallest_one_that_requires_a_response_and_the_others_follow() {
     let mut steering = steering_with_agents(2);
