fix(core): a restarted agent does not deny a flow by the start of its stream

What callers would see: a reset of an open flow after its agent was restarted and a late copy of the flow's opening segment arrived. Found by reading all places that say "not mine": the agent took the backend server's answer to the copy for the start of a new stream, the caller's acknowledgement, far beyond it, for one of another backend server, and denied the flow. That comparison proves something only for an agent that has seen the flow from its start. Others now answer that they cannot tell, deliver packets as for any flow they do not know, and take the flow for open once the backend server sends data on it, as the phase's own description says.

Test: a_restarted_agent_does_not_deny_a_flow_by_the_start_of_its_stream failed before (NotOwned).

--- a/arbutus-core/src/packet/flow_tracker.rs
+++ b/arbutus-core/src/packet/flow_tracker.rs
@@ -145,7 +145,7 @@
             return self.on_unknown_flow(header, segment, now);
         };
         if !tracked.matches_stream(segment) {
-            return pass_on(header, segment, RefusalReason::OtherStream);
+            return self.on_other_stream(header, segment, now);
         }
         if tracked.begins_further_request(segment) {
             self.shares.on_request(segment.flow.service, now);
@@ -160,6 +160,22 @@
         }
     }
 
+    /// Decides on a packet of a stream that does not begin where the backend server's does.
+    ///
+    /// An agent that may have missed the start of the flow has seen a copy of its opening segment
+    /// only, long after the start of the stream.
+    fn on_other_stream(
+        &mut self,
+        header: RelayHeader,
+        segment: &Segment,
+        now: Timestamp,
+    ) -> TrackerAction {
+        if self.tracks_all_flows() {
+            return pass_on(header, segment, RefusalReason::OtherStream);
+        }
+        self.on_unknown_flow(header, segment, now)
+    }
+
     fn on_unknown_flow(
         &mut self,
         header: RelayHeader,
@@ -193,13 +209,13 @@
     fn answer(&self, question: &Question) -> LookupAnswer {
         let mut segment = Segment::new(question.flow);
         segment.acknowledged = question.acknowledged;
-        match self.flows.get(&question.flow) {
-            Some(tracked) if tracked.matches_stream(&segment) => LookupAnswer::Owned,
-            Some(_) => LookupAnswer::NotOwned,
-            None if self.tracks_all_flows() || self.not_owned.contains_key(&question.flow) => {
-                LookupAnswer::NotOwned
-            }
-            None => LookupAnswer::Unknown,
+        let tracked = self.flows.get(&question.flow);
+        if tracked.is_some_and(|it| it.matches_stream(&segment)) {
+            LookupAnswer::Owned
+        } else if self.tracks_all_flows() || self.not_owned.contains_key(&question.flow) {
+            LookupAnswer::NotOwned
+        } else {
+            LookupAnswer::Unknown
         }
     }
 
--- a/arbutus-core/src/packet/tracked_flow.rs
+++ b/arbutus-core/src/packet/tracked_flow.rs
@@ -106,8 +106,9 @@
             Phase::Opening | Phase::Accepted(_) if segment.is_accepting() => {
                 self.phase = Phase::Accepted(segment.sequence);
             }
-            Phase::Accepted(_) | Phase::Open => {}
-            Phase::Opening => self.phase = Phase::Open,
+            Phase::Accepted(_) if segment.payload_len == 0 => {}
+            Phase::Opening | Phase::Accepted(_) => self.phase = Phase::Open,
+            Phase::Open => {}
         }
         let requested_at = if segment.payload_len > 0 {
             self.request_pending_since.take()
--- a/arbutus-core/tests/packet/tracker_cases.rs
+++ b/arbutus-core/tests/packet/tracker_cases.rs
@@ -435,6 +435,25 @@
     assert_eq!(query(&mut tracker, 2, 900, at(5)), LookupAnswer::Owned);
 }
 
+/// Guards against the denial of an open flow by an agent that was restarted and then saw a late copy
+/// of the flow's opening segment: the stream had grown far beyond its start.
+#[test]
+fn a_restarted_agent_does_not_deny_a_flow_by_the_start_of_its_stream() {
+    let mut tracker = restarted_tracker();
+    tracker.on_relayed(header(&[0]), &opening(1, 2), at(0));
+    tracker.on_backend_packet(&accepting(1, 500), at(1));
+    assert_eq!(query(&mut tracker, 1, 90_000, at(2)), LookupAnswer::Unknown);
+    let confirmed = header(&[0]).owner_confirmed(true);
+    let action = tracker.on_relayed(confirmed, &request(1, 90_000), at(3));
+    assert!(
+        matches!(action, TrackerAction::ToBackend { .. }),
+        "{action:?}"
+    );
+    // The answer shows that the backend server holds the flow.
+    tracker.on_backend_packet(&request(1, 300), at(4));
+    assert_eq!(query(&mut tracker, 1, 90_000, at(5)), LookupAnswer::Owned);
+}
+
 #[test]
 fn a_restarted_agent_tracks_the_flows_of_packets_that_its_backend_server_sends() {
     let mut tracker = restarted_tracker();
