--- a/arbutus-io/src/metrics.rs
+++ b/arbutus-io/src/metrics.rs
@@ -6,6 +6,7 @@
 mod labels;
 mod packet_agent_metrics;
 mod packet_balancer_metrics;
+mod store_metrics;
 
 pub use agent_metrics::AgentMetrics;
 pub use balancer_metrics::BalancerMetrics;
@@ -14,3 +15,4 @@
 pub use labels::{DirectionLabel, OutcomeLabel, ReasonLabel};
 pub use packet_agent_metrics::PacketAgentMetrics;
 pub use packet_balancer_metrics::PacketBalancerMetrics;
+pub use store_metrics::StoreMetrics;
--- a/arbutus-io/src/metrics/packet_agent_metrics.rs
+++ b/arbutus-io/src/metrics/packet_agent_metrics.rs
@@ -3,7 +3,7 @@
     registry::Registry,
 };
 
-use super::ReasonLabel;
+use super::{ReasonLabel, StoreMetrics};
 
 /// The metrics of an agent of packet flows.
 #[derive(Debug, Clone)]
@@ -28,12 +28,8 @@
     pub flows: Gauge,
     /// Time from a caller's data to the first packet of the answer, in seconds.
     pub answer_seconds: Histogram,
-    /// Failed calls to the store.
-    pub store_failures: Counter,
-    /// How often the store came back from an older copy.
-    pub store_restores: Counter,
-    /// Duration of calls to the store, in seconds.
-    pub store_seconds: Histogram,
+    /// Calls to the store.
+    pub store: StoreMetrics,
 }
 
 impl PacketAgentMetrics {
@@ -51,9 +47,7 @@
             heartbeats: Family::default(),
             flows: Gauge::default(),
             answer_seconds: Histogram::new(super::ANSWER_BUCKETS_S),
-            store_failures: Counter::default(),
-            store_restores: Counter::default(),
-            store_seconds: Histogram::new(super::STORE_BUCKETS_S),
+            store: StoreMetrics::new(),
         }
     }
 
@@ -105,21 +99,7 @@
             "Time from a caller's data to the first of the answer",
             self.answer_seconds.clone(),
         );
-        registry.register(
-            "arbutus_store_failures",
-            "Calls to the store that failed",
-            self.store_failures.clone(),
-        );
-        registry.register(
-            "arbutus_store_restores",
-            "How often the store came back from an older copy",
-            self.store_restores.clone(),
-        );
-        registry.register(
-            "arbutus_store_seconds",
-            "Time that a store call took",
-            self.store_seconds.clone(),
-        );
+        self.store.register(registry);
     }
 }
 
--- a/arbutus-io/src/metrics/packet_balancer_metrics.rs
+++ b/arbutus-io/src/metrics/packet_balancer_metrics.rs
@@ -1,9 +1,9 @@
 use prometheus_client::{
-    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
 
-use super::ReasonLabel;
+use super::{ReasonLabel, StoreMetrics};
 
 /// The metrics of a balancer of packet flows.
 #[derive(Debug, Clone)]
@@ -28,17 +28,13 @@
     pub flows: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
-    /// Failed calls to the store.
-    pub store_failures: Counter,
-    /// How often the store came back from an older copy.
-    pub store_restores: Counter,
     /// Calls to the store for the agents that it lists, before a flow may be reset.
     pub store_checks: Counter,
     /// Rounds of queries to seeds for agents that the store does not list, before a flow may be
     /// reset.
     pub seed_queries: Counter,
-    /// Duration of calls to the store, in seconds.
-    pub store_seconds: Histogram,
+    /// Calls to the store.
+    pub store: StoreMetrics,
 }
 
 impl PacketBalancerMetrics {
@@ -56,11 +52,9 @@
             agents: Gauge::default(),
             flows: Gauge::default(),
             config_version: Gauge::default(),
-            store_failures: Counter::default(),
-            store_restores: Counter::default(),
             store_checks: Counter::default(),
             seed_queries: Counter::default(),
-            store_seconds: Histogram::new(super::STORE_BUCKETS_S),
+            store: StoreMetrics::new(),
         }
     }
 
@@ -108,16 +102,6 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
-        registry.register(
-            "arbutus_store_failures",
-            "Calls to the store that failed",
-            self.store_failures.clone(),
-        );
-        registry.register(
-            "arbutus_store_restores",
-            "How often the store came back from an older copy",
-            self.store_restores.clone(),
-        );
         registry.register(
             "arbutus_store_checks",
             "Calls to the store for the agents that it lists, before a flow may be reset",
@@ -128,11 +112,7 @@
             "Queries to seeds for agents that the store does not list, before a flow may be reset",
             self.seed_queries.clone(),
         );
-        registry.register(
-            "arbutus_store_seconds",
-            "Time that a store call took",
-            self.store_seconds.clone(),
-        );
+        self.store.register(registry);
     }
 }
 
