--- a/arbutus-core/src/packet/backend_monitor.rs
+++ b/arbutus-core/src/packet/backend_monitor.rs
@@ -260,12 +260,28 @@
         self.has_met_earlier_process
     }
 
+    fn heartbeat_interval(&self) -> Duration {
+        self.liveness_timeout / Self::LIVENESS_INTERVALS
+    }
+
+    /// Returns whether the sequence number of the first heartbeat of the present process is low
+    /// enough for a process that started after `start`.
+    pub(super) fn may_have_started_after(&self, start: Timestamp) -> bool {
+        let Some(first) = self.first_heartbeat else {
+            return false;
+        };
+        let sequence = u32::try_from(first.sequence).unwrap_or(u32::MAX);
+        let intervals = sequence.saturating_sub(Self::FIRST_SEQUENCES);
+        let min_age = self.heartbeat_interval().saturating_mul(intervals);
+        min_age <= first.at.since(start)
+    }
+
     /// Returns whether the clocks say that no earlier process of the agent can have delivered flows
     /// to the backend server. The agent's process of `incarnation` started at `start`.
     ///
     /// Either the backend server started after this process, or this process received its first
-    /// heartbeat. The start times on the wall clock decide, with the sequence number of the first
-    /// heartbeat that arrived. This is no proof: the clock may have been set between the two starts.
+    /// heartbeat. The start times on the wall clock decide. This is no proof: the clock may have been
+    /// set between the two starts.
     pub(super) fn seems_to_have_met_no_earlier_agent(
         &self,
         incarnation: Incarnation,
@@ -274,18 +290,12 @@
         let (Some(last), Some(first)) = (&self.last_heartbeat, self.first_heartbeat) else {
             return false;
         };
-        let interval = self.liveness_timeout / Self::LIVENESS_INTERVALS;
-        let sequence = u32::try_from(first.sequence).unwrap_or(u32::MAX);
-        let min_age = interval.saturating_mul(sequence.saturating_sub(Self::FIRST_SEQUENCES));
         let heard_after = first.at.since(start);
-        if min_age > heard_after {
-            return false;
-        }
         let agent_age_ms = u64::try_from(heard_after.as_millis()).unwrap_or(u64::MAX);
         let heard_at_ms = incarnation.get().saturating_add(agent_age_ms);
         let backend_age = Duration::from_millis(heard_at_ms.saturating_sub(last.started_at_ms));
-        let is_first = sequence <= Self::FIRST_SEQUENCES
-            && backend_age < interval / Self::FIRST_HEARTBEAT_DIVISOR;
+        let is_first = first.sequence <= u64::from(Self::FIRST_SEQUENCES)
+            && backend_age < self.heartbeat_interval() / Self::FIRST_HEARTBEAT_DIVISOR;
         is_first || last.started_at_ms >= incarnation.get()
     }
 
--- a/arbutus-core/src/packet/flow_tracker.rs
+++ b/arbutus-core/src/packet/flow_tracker.rs
@@ -162,8 +162,8 @@
 
     /// Decides on a packet of a stream that does not begin where the backend server's does.
     ///
-    /// An agent that may have missed the start of the flow has seen a copy of its opening segment
-    /// only, long after the start of the stream.
+    /// This proves nothing if the agent may have missed the start of the flow: the backend server may
+    /// have answered a late copy of the opening segment since.
     fn on_other_stream(
         &mut self,
         header: RelayHeader,
@@ -330,6 +330,7 @@
     #[must_use]
     pub fn tracks_all_flows(&self) -> bool {
         !self.evicted_flows
+            && self.backend.may_have_started_after(self.started_at)
             && (self.backend.has_met_earlier_process() || self.is_first_agent_of_backend())
     }
 
--- a/arbutus-core/src/packet/steering.rs
+++ b/arbutus-core/src/packet/steering.rs
@@ -49,6 +49,9 @@
     queries: QueryOutbox,
     view: AgentView,
     seeds: SeedQueries,
+    /// The latest start of a lookup that is suspended, until the next
+    /// [`Steering::expire_lookups`] finds none.
+    latest_suspended: Option<Timestamp>,
     /// When the store was last asked for the agents that it lists, for a lookup.
     last_store_check_at: Timestamp,
     /// A configuration that another balancer has, always newer than `config`.
@@ -124,6 +127,7 @@
             flows: FlowCache::default(),
             lookups: IndexMap::new(),
             queries: QueryOutbox::default(),
+            latest_suspended: None,
             last_store_check_at: Timestamp::ZERO,
             missed_config: None,
         }
--- a/arbutus-core/src/packet/steering/lookups.rs
+++ b/arbutus-core/src/packet/steering/lookups.rs
@@ -180,11 +180,14 @@
         if let Some(step) = self.conclude(flow, now) {
             return step;
         }
-        let suspended = self.lookups.get_mut(flow).is_some_and(|it| it.suspend(now));
-        if suspended {
+        let Some(lookup) = self.lookups.get_mut(flow) else {
             return LookupStep::Wait;
+        };
+        if !lookup.suspend(now) {
+            return self.abandon(flow);
         }
-        self.abandon(flow)
+        self.latest_suspended = self.latest_suspended.max(Some(lookup.started_at()));
+        LookupStep::Wait
     }
 
     /// Continues a lookup that all its agents have denied at agents that have entered the view
@@ -264,6 +267,8 @@
             let after = self.on_timeout(&flow, timeout, now);
             steps.extend(after.into_iter().map(|it| (flow, it)));
         }
+        let suspended = self.lookups.values().filter(|it| it.is_suspended());
+        self.latest_suspended = suspended.map(Lookup::started_at).max();
         steps
     }
 
--- a/arbutus-core/src/packet/steering/view.rs
+++ b/arbutus-core/src/packet/steering/view.rs
@@ -2,10 +2,7 @@
 
 use super::Steering;
 use crate::{
-    packet::{
-        AgentListing, AgentReport, MemberChange, Message, PeerSnapshot, lookup::Lookup,
-        member::Member,
-    },
+    packet::{AgentListing, AgentReport, MemberChange, Message, PeerSnapshot, member::Member},
     time::Timestamp,
 };
 
@@ -68,8 +65,7 @@
     #[must_use]
     pub fn store_check_due(&self) -> Option<Timestamp> {
         let useful_from = self.view.lists_agents_from()?;
-        let waits = |it: &Lookup| it.is_suspended() && !self.view.has_listings_of(it.started_at());
-        let wanted = self.lookups.values().any(waits);
+        let wanted = !self.view.has_listings_of(self.latest_suspended?);
         wanted.then(|| useful_from.max(self.last_store_check_at + Self::STORE_CHECK_INTERVAL))
     }
 
@@ -87,8 +83,8 @@
     /// Returns the query to send to seeds now for the agents that the store does not list, and the
     /// seeds, if a lookup can end with a reset only after their answers.
     pub fn take_seed_queries(&mut self, now: Timestamp) -> Option<(Message, Vec<SocketAddrV4>)> {
-        let waits = |it: &Lookup| it.is_suspended() && !self.seeds.is_known_for(it.started_at());
-        let wanted = self.lookups.values().any(waits);
+        let latest = self.latest_suspended;
+        let wanted = latest.is_some_and(|at| !self.seeds.is_known_for(at));
         let (number, seeds) = self.seeds.take_due(wanted, now)?;
         let query = Message::UnlistedQuery {
             balancer: self.settings.balancer,
--- a/arbutus-core/tests/packet/tracker_cases.rs
+++ b/arbutus-core/tests/packet/tracker_cases.rs
@@ -387,6 +387,16 @@
     assert_eq!(reset, case.answer == LookupAnswer::NotOwned, "{case:?}");
 }
 
+#[test]
+fn a_heartbeat_of_an_old_process_does_not_pass_for_a_restart() {
+    let mut tracker = tracker(0, 9_000, at(0));
+    tracker.on_earlier_listing(EarlierListing::Served(Some(process(4_000))));
+    tracker.on_heartbeat(heartbeat(0, 3, 4_000), at(500));
+    // The number shows that this process is older than the agent, whatever its clock says.
+    tracker.on_heartbeat(heartbeat(0, 40, 5_000), at(900));
+    assert_eq!(query(&mut tracker, 1, 900, at(901)), LookupAnswer::Unknown);
+}
+
 #[test]
 fn an_agent_denies_unknown_flows_of_a_backend_server_that_started_again_beside_it() {
     let mut tracker = tracker(0, 9_000, at(0));
