--- a/arbutus-bench/src/policy/fleet.rs
+++ b/arbutus-bench/src/policy/fleet.rs
@@ -1,7 +1,9 @@
+mod faults;
+
 use std::{net::SocketAddrV4, time::Duration};
 
 use arbutus_core::{
-    config::{ConfigVersion, Service, Snapshot},
+    config::Service,
     flow::{Action, Event, FlowKey, FlowLimits, FlowPolicy},
     keys::{KeyRing, SystemKey},
     roster::AgentState,
@@ -25,12 +27,8 @@
 const CALLER_TO_BALANCER_DELAY: Duration = Duration::from_millis(3);
 /// Interval between two samples of the in-flight requests.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which balancers and agents use the old roster after a drain or a crash.
-const ROSTER_UPDATE_DELAY: Duration = Duration::from_secs(3);
 /// Time after which a caller retransmits an unanswered first packet.
 const CALLER_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Time after its start for which a cold backend server is slower.
-const COLD_START_DURATION: Duration = Duration::from_secs(5);
 /// Factor by which a cold backend server takes longer.
 const COLD_START_FACTOR: f64 = 4.0;
 /// Factor by which a slow backend server takes longer.
@@ -356,67 +354,6 @@
         self.renew_credits();
     }
 
-    fn inject_fault(&mut self) {
-        let updated_at = self.after(ROSTER_UPDATE_DELAY);
-        let first = &mut self.nodes[0];
-        match self.scenario.fault {
-            Fault::None | Fault::Slow | Fault::Shedding => return,
-            Fault::ColdStart => {
-                first.is_alive = true;
-                first.listed_state = AgentState::Ready;
-                first.cold_until = self.now + COLD_START_DURATION;
-                let (limits, policy) = (FlowLimits::new(), self.policy());
-                let limits = limits
-                    .slots(self.scenario.slots)
-                    .queue(self.scenario.queue_limit);
-                self.nodes[0] = Node {
-                    cold_until: self.now + COLD_START_DURATION,
-                    ..Node::new(0, self.scenario.domains, limits, policy, self.now)
-                };
-                return self.update_rosters();
-            }
-            Fault::Drain => {
-                first.is_drained = true;
-                first.listed_state = AgentState::Draining;
-                self.notify_agent(0, Event::Drain);
-            }
-            Fault::Crash => {
-                first.is_alive = false;
-                first.listed_state = AgentState::Gone;
-                first.queue.clear();
-                self.break_flows();
-            }
-        }
-        self.event_queue.push(updated_at, SimEvent::RosterUpdate);
-    }
-
-    fn policy(&self) -> FlowPolicy {
-        match self.scenario.strategy {
-            Strategy::Reports { policy, .. } => policy,
-            _ => FlowPolicy::new(),
-        }
-    }
-
-    /// Closes the flows of the crashed node and counts them as broken.
-    fn break_flows(&mut self) {
-        for flow in &mut self.flows {
-            if flow.is_open && flow.node == 0 {
-                flow.is_open = false;
-                self.meter.broken += 1;
-            }
-        }
-    }
-
-    /// Updates balancers and agents with the current roster.
-    fn update_rosters(&mut self) {
-        let records: Vec<_> = self.nodes.iter().map(Node::record).collect();
-        let snapshot = Snapshot::new(ConfigVersion::new(1), [self.service.clone()]);
-        self.table = RouteTable::build(&snapshot, &records);
-        for node in 0..self.nodes.len() {
-            self.notify_agent(node, Event::Peers(records.clone()));
-        }
-    }
-
     pub(super) fn request_placement(&self) -> RequestPlacement {
         match self.scenario.strategy {
             Strategy::Reports {
--- a/arbutus-core/tests/packet/lookup_cases.rs
+++ b/arbutus-core/tests/packet/lookup_cases.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use arbutus_core::packet::{
     AgentStatus, FlowId, LookupAnswer, LookupStep, RelayHeader, Steering, SteeringDecision,
@@ -24,6 +24,13 @@
     steps
 }
 
+/// Has the store list an agent of another failure domain than the balancer's.
+fn add_remote_agent(steering: &mut Steering, index: usize, service: &str) {
+    let mut remote = listing(index, service, 1);
+    remote.failure_domain = Arc::from("b");
+    steering.on_listed(&remote, at(0));
+}
+
 /// Has every agent answer that it does not own the flow, and returns the step after the last
 /// answer.
 fn deny_from_all(steering: &mut Steering, agents: usize, ms: u64) -> LookupStep {
@@ -67,9 +74,7 @@
 #[test]
 fn remote_agents_are_queried_when_the_local_ones_deny_the_flow() {
     let mut steering = steering_with_agents(2);
-    let mut remote = listing(2, OTHER_SERVICE, 1);
-    remote.failure_domain = std::sync::Arc::from("b");
-    steering.on_listed(&remote, at(0));
+    add_remote_agent(&mut steering, 2, OTHER_SERVICE);
     let decision = steering.on_packet(&request(1, 900), PACKET, at(1));
     assert!(
         matches!(&decision, SteeringDecision::Query(agents) if agents.len() == 2),
@@ -83,9 +88,7 @@
 #[test]
 fn remote_agents_are_queried_when_a_local_one_does_not_answer() {
     let mut steering = steering_with_agents(2);
-    let mut remote = listing(2, OTHER_SERVICE, 1);
-    remote.failure_domain = std::sync::Arc::from("b");
-    steering.on_listed(&remote, at(0));
+    add_remote_agent(&mut steering, 2, OTHER_SERVICE);
     steering.on_packet(&request(1, 900), PACKET, at(1));
     steering.on_answer(agent(0), flow(1), LookupAnswer::NotOwned, at(2));
     let late = steering.expire_lookups(at(61));
@@ -372,9 +375,7 @@
 #[test]
 fn local_agents_with_unknown_flows_get_the_trial_packet_before_remote_agents_are_queried() {
     let mut steering = steering_with_agents(2);
-    let mut remote = listing(2, OTHER_SERVICE, 1);
-    remote.failure_domain = std::sync::Arc::from("b");
-    steering.on_listed(&remote, at(0));
+    add_remote_agent(&mut steering, 2, OTHER_SERVICE);
     steering.on_peer_agents(&[], true, at(1));
     steering.on_packet(&request(1, 900), PACKET, at(2));
     steering.on_answer(agent(0), flow(1), LookupAnswer::Unknown, at(3));
@@ -393,9 +394,7 @@
 #[test]
 fn a_trial_packet_without_a_response_does_not_block_trials_at_other_agents() {
     let mut steering = steering_with_agents(1);
-    let mut remote = listing(1, SERVICE, 1);
-    remote.failure_domain = std::sync::Arc::from("b");
-    steering.on_listed(&remote, at(0));
+    add_remote_agent(&mut steering, 1, SERVICE);
     steering.on_peer_agents(&[], true, at(1));
     steering.on_packet(&request(1, 900), PACKET, at(2));
     let tried = steering.on_answer(agent(0), flow(1), LookupAnswer::Unknown, at(3));
@@ -416,9 +415,7 @@
 #[test]
 fn a_trial_packet_is_not_repeated_before_all_agents_have_been_queried() {
     let mut steering = steering_with_agents(1);
-    let mut remote = listing(1, SERVICE, 1);
-    remote.failure_domain = std::sync::Arc::from("b");
-    steering.on_listed(&remote, at(0));
+    add_remote_agent(&mut steering, 1, SERVICE);
     steering.on_peer_agents(&[], true, at(1));
     steering.on_packet(&request(1, 900), PACKET, at(2));
     steering.on_answer(agent(0), flow(1), LookupAnswer::Unknown, at(3));
