--- a/review/standin-2/backend.rs
+++ b/review/standin-2/backend.rs
@@ -66,7 +66,10 @@
 }
 
 pub fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
 
 impl Backend {
@@ -104,7 +107,8 @@
 
     fn note(&self, text: &str) {
         let id = &self.config.id;
-        self.record.line(&format!("backend {id} (born {}) {text}", self.born_ms));
+        self.record
+            .line(&format!("backend {id} (born {}) {text}", self.born_ms));
     }
 
     /// Ends without a word, as a crash does. The address is free once all threads have noticed.
@@ -136,7 +140,9 @@
 
     pub fn holds(&self, caller: SocketAddrV4) -> bool {
         let flows = self.flows.lock().unwrap();
-        flows.iter().any(|((it, _), flow)| *it == caller && flow.open)
+        flows
+            .iter()
+            .any(|((it, _), flow)| *it == caller && flow.open)
     }
 
     fn is_alive(&self) -> bool {
@@ -168,7 +174,9 @@
         if status.is_some_and(|it| (200..300).contains(&it)) {
             self.acknowledged.fetch_add(1, Ordering::SeqCst);
         }
-        self.note(&format!("heartbeat {sequence}, draining {draining}, answer {status:?}"));
+        self.note(&format!(
+            "heartbeat {sequence}, draining {draining}, answer {status:?}"
+        ));
         status
     }
 
@@ -257,7 +265,9 @@
     /// Runs the request in a packet, and answers it.
     fn run(&self, packet: &Packet) {
         let text = String::from_utf8_lossy(&packet.data).into_owned();
-        let id = text.lines().find_map(|it| it.strip_prefix("X-Request-Id: "));
+        let id = text
+            .lines()
+            .find_map(|it| it.strip_prefix("X-Request-Id: "));
         let request = id.unwrap_or("none").trim().to_owned();
         let run = Run {
             request: request.clone(),
--- a/review/standin-2/caller.rs
+++ b/review/standin-2/caller.rs
@@ -70,7 +70,12 @@
             }
         });
         let next_port = AtomicU16::new(FIRST_PORT);
-        Ok(Caller { ip: *address.ip(), socket, inbox, next_port })
+        Ok(Caller {
+            ip: *address.ip(),
+            socket,
+            inbox,
+            next_port,
+        })
     }
 
     fn send(&self, flow: &Flow, flags: u8, acknowledged: u32, data: &[u8], to: SocketAddrV4) {
@@ -100,7 +105,9 @@
         let started_at = Instant::now();
         let mut copies = 0;
         while started_at.elapsed() < OPEN_TIMEOUT {
-            let due = SYN_TIMES_MS.get(copies).map(|it| Duration::from_millis(*it));
+            let due = SYN_TIMES_MS
+                .get(copies)
+                .map(|it| Duration::from_millis(*it));
             if due.is_some_and(|it| started_at.elapsed() >= it) {
                 self.send(&flow, SYN, copies as u32, &[], balancer);
                 copies += 1;
@@ -160,7 +167,9 @@
             flow.acknowledged = flow.acknowledged.wrapping_add(packet.data.len() as u32);
             self.send(flow, ACK, flow.acknowledged, &[], balancer);
             let answer = String::from_utf8_lossy(&packet.data).into_owned();
-            let server = answer.lines().find_map(|it| it.strip_prefix("X-Server-Signature: "));
+            let server = answer
+                .lines()
+                .find_map(|it| it.strip_prefix("X-Server-Signature: "));
             return Outcome::Answered(server.unwrap_or("nobody").trim().to_owned());
         }
         Outcome::Silence
@@ -174,5 +183,9 @@
 }
 
 fn reset_outcome(sum: Sum) -> Outcome {
-    if sum == Sum::Valid { Outcome::ResetByBackend } else { Outcome::Reset }
+    if sum == Sum::Valid {
+        Outcome::ResetByBackend
+    } else {
+        Outcome::Reset
+    }
 }
--- a/review/standin-2/config_storm.rs
+++ b/review/standin-2/config_storm.rs
@@ -48,7 +48,9 @@
 }
 
 fn routes(idle_routes: u32, with_dropped: bool) -> Vec<SocketAddrV4> {
-    let own = [kept(), dropped()].into_iter().filter(|it| with_dropped || *it != dropped());
+    let own = [kept(), dropped()]
+        .into_iter()
+        .filter(|it| with_dropped || *it != dropped());
     own.chain((0..idle_routes).map(idle)).collect()
 }
 
@@ -75,7 +77,10 @@
     for change in 1..=LARGE_CHANGES {
         count += ADDED_ROUTES;
         let config = config_text(u64::from(1 + change), &routes(count, true));
-        record.say(&format!("the operator adds {ADDED_ROUTES} routes, {} bytes", config.len()));
+        record.say(&format!(
+            "the operator adds {ADDED_ROUTES} routes, {} bytes",
+            config.len()
+        ));
         it.store.write("op/config", &config);
         thread::sleep(CONFIG_APPLY + Duration::from_secs(1));
         check_served(&it, idle(count - 1), &format!("big-{change}"))?;
@@ -86,9 +91,15 @@
     let started_at = Instant::now();
     for change in 1..=changes {
         count += 1;
-        let config = config_text(u64::from(1 + LARGE_CHANGES + 3 * change), &routes(count, change < changes));
+        let config = config_text(
+            u64::from(1 + LARGE_CHANGES + 3 * change),
+            &routes(count, change < changes),
+        );
         it.store.write("op/config", &config);
-        record.line(&format!("change {change} is acknowledged, {} bytes", config.len()));
+        record.line(&format!(
+            "change {change} is acknowledged, {} bytes",
+            config.len()
+        ));
         if change < changes {
             let due = STORM_PAUSE * change;
             thread::sleep(due.saturating_sub(started_at.elapsed()));
@@ -106,10 +117,15 @@
         return Err("a process has ended".to_owned());
     }
     for index in 0..BALANCERS {
-        it.note_log(&format!("balancer-{index}"), &["dependency", "config_in_force", "history"]);
+        it.note_log(
+            &format!("balancer-{index}"),
+            &["dependency", "config_in_force", "history"],
+        );
     }
     let longest = it.store.largest_watch();
-    record.say(&format!("the longest answer of the store to a watch had {longest} bytes"));
+    record.say(&format!(
+        "the longest answer of the store to a watch had {longest} bytes"
+    ));
     Ok(judge(&it, record, &attempts, acknowledged_at))
 }
 
@@ -145,7 +161,11 @@
                     }
                     Err(outcome) => outcome,
                 };
-                attempts.lock().unwrap().push(Attempt { id, sent_at, outcome });
+                attempts.lock().unwrap().push(Attempt {
+                    id,
+                    sent_at,
+                    outcome,
+                });
             });
             number = number.wrapping_add(1);
             thread::sleep(ATTEMPT_PAUSE);
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -30,7 +30,9 @@
 /// Ends all processes that this program has started.
 pub fn end_started_processes() {
     for id in STARTED.lock().unwrap().iter() {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
     }
 }
 
@@ -217,22 +219,29 @@
         let index = self.find(name).ok_or("no such process")?;
         let (_, mut child) = self.processes.swap_remove(index);
         self.record.line(&format!("process {name} gets SIGTERM"));
-        let sent = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        let sent = Command::new("kill")
+            .args(["-TERM", &child.id().to_string()])
+            .status();
         sent.map_err(|it| it.to_string())?;
         let status = child.wait().map_err(|it| it.to_string())?;
         STARTED.lock().unwrap().retain(|it| *it != child.id());
-        self.record.line(&format!("process {name} has ended ({status})"));
+        self.record
+            .line(&format!("process {name} has ended ({status})"));
         Ok(())
     }
 
     /// Returns whether all processes still run.
     pub fn all_run(&mut self) -> bool {
-        self.processes.iter_mut().all(|(_, child)| matches!(child.try_wait(), Ok(None)))
+        self.processes
+            .iter_mut()
+            .all(|(_, child)| matches!(child.try_wait(), Ok(None)))
     }
 
     /// Waits until the control address of a process accepts connections.
     pub fn wait_control(&self, agent: u8) -> Result<(), String> {
-        wait_for("the agent listens", || TcpStream::connect(self.control(agent)).is_ok())
+        wait_for("the agent listens", || {
+            TcpStream::connect(self.control(agent)).is_ok()
+        })
     }
 
     fn wait_ready(&self, ip: Ipv4Addr) -> Result<(), String> {
@@ -244,7 +253,9 @@
         for index in 0..self.balancers {
             self.wait_ready(self.balancer_ip(index))?;
         }
-        wait_for("the agents are listed", || self.store.keys("arbutus/agents/").len() == agents)?;
+        wait_for("the agents are listed", || {
+            self.store.keys("arbutus/agents/").len() == agents
+        })?;
         thread::sleep(Duration::from_millis(1_500));
         Ok(())
     }
@@ -252,7 +263,10 @@
     /// Copies the lines of a process's log that contain one of `words` into the record.
     pub fn note_log(&self, name: &str, words: &[&str]) {
         let text = fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default();
-        for line in text.lines().filter(|it| words.iter().any(|word| it.contains(word))) {
+        for line in text
+            .lines()
+            .filter(|it| words.iter().any(|word| it.contains(word)))
+        {
             let mut line = line.to_owned();
             line.truncate(240);
             self.record.line(&format!("log of {name}: {line}"));
--- a/review/standin-2/hold.rs
+++ b/review/standin-2/hold.rs
@@ -20,7 +20,10 @@
     /// Forwards connections at `listen` to `target`.
     pub fn start(listen: SocketAddrV4, target: SocketAddrV4) -> std::io::Result<HoldingProxy> {
         let listener = TcpListener::bind(listen)?;
-        let (holding, release) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let (holding, release) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(AtomicBool::new(false)),
+        );
         let (holds, released) = (holding.clone(), release.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -61,7 +64,9 @@
     while held && !released.load(Ordering::SeqCst) {
         thread::sleep(Duration::from_millis(2));
     }
-    let Ok(mut server) = TcpStream::connect(target) else { return };
+    let Ok(mut server) = TcpStream::connect(target) else {
+        return;
+    };
     let _ = server.set_read_timeout(Some(Duration::from_secs(2)));
     if server.write_all(&call).is_err() {
         return;
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -73,7 +73,9 @@
             let answer = answer.clone();
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
-                let Ok(mut writer) = stream.try_clone() else { return };
+                let Ok(mut writer) = stream.try_clone() else {
+                    return;
+                };
                 let mut reader = BufReader::new(stream);
                 while let Some(call) = read_call(&mut reader) {
                     let (status, body) = answer(call);
@@ -83,7 +85,10 @@
                         body.len()
                     );
                     let sent = writer.write_all(head.as_bytes());
-                    if sent.and_then(|()| writer.write_all(body.as_bytes())).is_err() {
+                    if sent
+                        .and_then(|()| writer.write_all(body.as_bytes()))
+                        .is_err()
+                    {
                         return;
                     }
                 }
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         reader.value()
     }
 
--- a/review/standin-2/late_heartbeat.rs
+++ b/review/standin-2/late_heartbeat.rs
@@ -49,7 +49,9 @@
     proxy.pass();
     behind_proxy.id = "i-second".to_owned();
     let second = it.start_backend(behind_proxy)?;
-    wait_for("the second process is registered", || second.is_acknowledged())?;
+    wait_for("the second process is registered", || {
+        second.is_acknowledged()
+    })?;
     thread::sleep(Duration::from_millis(100));
 
     let mut flows = Vec::new();
@@ -59,15 +61,23 @@
             break;
         }
         let balancer = it.balancer(number as u8 % BALANCERS);
-        let Ok(mut flow) = it.caller.open(service(), balancer) else { continue };
+        let Ok(mut flow) = it.caller.open(service(), balancer) else {
+            continue;
+        };
         let id = format!("early-{number}");
         let outcome = it.caller.request(&mut flow, &id, balancer, DEADLINE);
-        record.line(&format!("{id} on {} is answered: {outcome:?}", flow.address));
+        record.line(&format!(
+            "{id} on {} is answered: {outcome:?}",
+            flow.address
+        ));
         if outcome == Outcome::Answered("i-second".to_owned()) {
             flows.push((flow, balancer));
         }
     }
-    record.say(&format!("{} flows are open at the second process", flows.len()));
+    record.say(&format!(
+        "{} flows are open at the second process",
+        flows.len()
+    ));
     if flows.is_empty() {
         return Err("no flow is open at the second process".to_owned());
     }
@@ -82,7 +92,16 @@
     if !it.all_run() {
         return Err("a process has ended".to_owned());
     }
-    it.note_log("agent-0", &["backend_server", "heartbeat", "flow_reset", "flow_table", "agent_"]);
+    it.note_log(
+        "agent-0",
+        &[
+            "backend_server",
+            "heartbeat",
+            "flow_reset",
+            "flow_table",
+            "agent_",
+        ],
+    );
     Ok(broken > 0)
 }
 
@@ -106,6 +125,9 @@
         ));
         broken += u32::from(held && outcome == Outcome::Reset && backend.holds(flow.address));
     }
-    record.say(&format!("{broken} of {} open flows were reset", flows.len()));
+    record.say(&format!(
+        "{broken} of {} open flows were reset",
+        flows.len()
+    ));
     broken
 }
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -11,7 +11,10 @@
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Record> {
         let file = Mutex::new(File::create(path)?);
-        Ok(Record { file, started_at: Instant::now() })
+        Ok(Record {
+            file,
+            started_at: Instant::now(),
+        })
     }
 
     pub fn line(&self, text: &str) {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -98,7 +98,12 @@
     /// Returns the keys with this prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.lock().unwrap();
-        state.items.keys().filter(|it| it.starts_with(prefix)).cloned().collect()
+        state
+            .items
+            .keys()
+            .filter(|it| it.starts_with(prefix))
+            .cloned()
+            .collect()
     }
 
     pub fn largest_watch(&self) -> usize {
@@ -108,12 +113,20 @@
     fn expire(&self) {
         let mut state = self.state.lock().unwrap();
         let now = Instant::now();
-        let ended: Vec<u64> =
-            state.leases.iter().filter(|(_, it)| it.ends_at <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<u64> = state
+            .leases
+            .iter()
+            .filter(|(_, it)| it.ends_at <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for lease in ended {
             state.end_lease(lease);
         }
-        let old = state.events.iter().take_while(|it| now - it.at > HISTORY).count();
+        let old = state
+            .events
+            .iter()
+            .take_while(|it| now - it.at > HISTORY)
+            .count();
         if let Some(last) = state.events.drain(..old).last() {
             state.discarded = last.revision;
         }
@@ -128,9 +141,7 @@
             ("POST", "/arbutusstage/kv-txn") => self.transact(call),
             ("POST", "/arbutusstage/kv-lease") => self.grant(call),
             ("POST", path) if path.starts_with("/arbutusstage/kv-keep/") => self.keep(path),
-            ("DELETE", path) if path.starts_with("/arbutusstage/kv-lease-end/") => {
-                self.end(path)
-            }
+            ("DELETE", path) if path.starts_with("/arbutusstage/kv-lease-end/") => self.end(path),
             _ => (404, "{}".to_owned()),
         }
     }
@@ -141,7 +152,10 @@
         match state.items.get(key) {
             Some(item) => {
                 let body = item_body(key, item);
-                (200, format!("{},\"as_of\":{}}}", &body[..body.len() - 1], state.revision))
+                (
+                    200,
+                    format!("{},\"as_of\":{}}}", &body[..body.len() - 1], state.revision),
+                )
             }
             None => (404, format!("{{\"as_of\":{}}}", state.revision)),
         }
@@ -164,7 +178,10 @@
             bodies.push(body);
         }
         let (items, as_of) = (bodies.join(","), state.revision);
-        (200, format!("{{\"items\":[{items}],\"has_more\":{has_more},\"as_of\":{as_of}}}"))
+        (
+            200,
+            format!("{{\"items\":[{items}],\"has_more\":{has_more},\"as_of\":{as_of}}}"),
+        )
     }
 
     fn watch(&self, call: &Call) -> (u16, String) {
@@ -226,7 +243,11 @@
         }
         for row in sets {
             let (key, value) = (field(&row, "key"), field(&row, "value"));
-            state.set(key.text(), value.text().to_owned(), field(&row, "lease").number());
+            state.set(
+                key.text(),
+                value.text().to_owned(),
+                field(&row, "lease").number(),
+            );
         }
         for key in rows("remove") {
             state.remove(key.text());
@@ -241,13 +262,25 @@
         let mut state = self.state.lock().unwrap();
         state.last_lease += 1;
         let lease = state.last_lease;
-        state.leases.insert(lease, Lease { ttl, ends_at: Instant::now() + ttl });
-        (200, format!("{{\"lease\":{lease},\"ttl_ms\":{}}}", ttl.as_millis()))
+        state.leases.insert(
+            lease,
+            Lease {
+                ttl,
+                ends_at: Instant::now() + ttl,
+            },
+        );
+        (
+            200,
+            format!("{{\"lease\":{lease},\"ttl_ms\":{}}}", ttl.as_millis()),
+        )
     }
 
     fn keep(&self, path: &str) -> (u16, String) {
         let mut state = self.state.lock().unwrap();
-        let lease = path.rsplit('/').next().and_then(|it| it.parse::<u64>().ok());
+        let lease = path
+            .rsplit('/')
+            .next()
+            .and_then(|it| it.parse::<u64>().ok());
         match lease.and_then(|it| state.leases.get_mut(&it)) {
             Some(lease) => {
                 lease.ends_at = Instant::now() + lease.ttl;
@@ -272,9 +305,18 @@
         self.revision += 1;
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |it| it.created);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         let body = item_body(key, &item);
-        self.events.push(Event { revision, at: Instant::now(), body });
+        self.events.push(Event {
+            revision,
+            at: Instant::now(),
+            body,
+        });
         self.items.insert(key.to_owned(), item);
     }
 
@@ -283,7 +325,11 @@
             self.revision += 1;
             let revision = self.revision;
             let body = format!("{{\"key\":\"{key}\",\"revision\":{revision},\"tombstone\":true}}");
-            self.events.push(Event { revision, at: Instant::now(), body });
+            self.events.push(Event {
+                revision,
+                at: Instant::now(),
+                body,
+            });
         }
     }
 
