--- a/review/standin-2/config_storm.rs
+++ b/review/standin-2/config_storm.rs
@@ -15,26 +15,26 @@
 };
 
 /// Routes without traffic at the start, as on a grown site.
-const IDLE_ROUTES: u32 = 240;
+pub const IDLE_ROUTES: u32 = 240;
 /// Routes that a large change adds (`big_config` of a site file), and how often that happens.
-const ADDED_ROUTES: u32 = 1_600;
-const LARGE_CHANGES: u32 = 2;
+pub const ADDED_ROUTES: u32 = 1_600;
+pub const LARGE_CHANGES: u32 = 2;
 /// Changes of the storm and the pause between them (`config_storm` of a site file).
-const STORM_CHANGES: u32 = 25;
-const STORM_PAUSE: Duration = Duration::from_millis(80);
+pub const STORM_CHANGES: u32 = 25;
+pub const STORM_PAUSE: Duration = Duration::from_millis(80);
 /// The bound within which a configuration applies.
-const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
+pub const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
 /// How long after the last change flows are opened on the dropped route.
 const WATCHED: Duration = Duration::from_secs(24);
 /// The length from which on the store adds no further change to an answer to a watch. WATCH_LIMIT=none
 /// has it return all changes in one answer.
-const WATCH_LIMIT: usize = 1_000_000;
+pub const WATCH_LIMIT: usize = 1_000_000;
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(150);
 const DEADLINE: Duration = Duration::from_millis(2_000);
 const BALANCERS: u8 = 2;
 const AGENTS: u8 = 2;
 
-fn kept() -> SocketAddrV4 {
+pub fn kept() -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(127, 200, 0, 1), 443)
 }
 
@@ -42,12 +42,12 @@
     SocketAddrV4::new(Ipv4Addr::new(127, 200, 0, 2), 443)
 }
 
-fn idle(number: u32) -> SocketAddrV4 {
+pub fn idle(number: u32) -> SocketAddrV4 {
     let ip = Ipv4Addr::new(127, 201, (number / 200) as u8, (number % 200) as u8 + 1);
     SocketAddrV4::new(ip, 8_080)
 }
 
-fn routes(idle_routes: u32, with_dropped: bool) -> Vec<SocketAddrV4> {
+pub fn routes(idle_routes: u32, with_dropped: bool) -> Vec<SocketAddrV4> {
     let own = [kept(), dropped()]
         .into_iter()
         .filter(|it| with_dropped || *it != dropped());
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -44,6 +44,7 @@
     net: u8,
     port: u16,
     balancers: u8,
+    seeds: u8,
     folder: PathBuf,
     processes: Vec<(String, Child)>,
 }
@@ -56,6 +57,17 @@
         balancers: u8,
         agents: u8,
         watch_limit: Option<usize>,
+    ) -> Result<Deployment, String> {
+        Self::start_with_seeds(record, config, [balancers, balancers], agents, watch_limit)
+    }
+
+    /// Starts a number of balancers, while the settings name another number of them as seeds.
+    pub fn start_with_seeds(
+        record: Arc<Record>,
+        config: &str,
+        [balancers, seeds]: [u8; 2],
+        agents: u8,
+        watch_limit: Option<usize>,
     ) -> Result<Deployment, String> {
         let (net, port) = free_net().ok_or("no free loopback addresses")?;
         let folder = std::env::temp_dir().join(format!("arbutus-case-{}", std::process::id()));
@@ -72,6 +84,7 @@
             net,
             port,
             balancers,
+            seeds,
             folder,
             processes: Vec::new(),
         };
@@ -140,7 +153,7 @@
 
     fn seeds(&self) -> String {
         let address = |index| format!("\"{}\"", self.at(self.balancer_ip(index), 4));
-        let seeds: Vec<String> = (0..self.balancers.min(3)).map(address).collect();
+        let seeds: Vec<String> = (0..self.seeds.min(3)).map(address).collect();
         seeds.join(", ")
     }
 
@@ -244,6 +257,10 @@
         })
     }
 
+    pub fn wait_balancer(&self, index: u8) -> Result<(), String> {
+        self.wait_ready(self.balancer_ip(index))
+    }
+
     fn wait_ready(&self, ip: Ipv4Addr) -> Result<(), String> {
         wait_for("the process is ready", || is_ready(self.at(ip, 3)))
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
 mod late_heartbeat;
 mod late_leave;
 mod packet;
+mod partial_view;
 mod record;
 mod store;
 
@@ -42,6 +43,7 @@
         "config-storm" => config_storm::play,
         "late-heartbeat" => late_heartbeat::play,
         "late-leave" => late_leave::play,
+        "partial-view" => partial_view::play,
         _ => return ExitCode::from(2),
     };
     let played = record.clone();
